--- /dev/null
+++ b/crates/adapter/src/decode.rs
@@ -0,0 +1,96 @@
+//! From the wire's values to the decider's.
+use crate::Wrong;
+use cottondyke_decide::types::*;
+use serde_json::Value;
+
+/// Whole tenths, rounded down: no due time is lengthened.
+fn tenths(ms: f64) -> Time {
+    Time((ms * 10.0).floor().clamp(-1e15, 1e15) as i64)
+}
+
+fn present<'a>(of: &'a Value, key: &str) -> Option<&'a Value> {
+    of.get(key).filter(|v| !v.is_null())
+}
+
+pub fn text<'a>(of: &'a Value, key: &str) -> Result<&'a str, Wrong> {
+    of.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing or not a text"))
+}
+
+pub fn whole(of: &Value, key: &str) -> Result<u64, Wrong> {
+    of.get(key).and_then(Value::as_u64).ok_or_else(|| format!("{key} is missing or not a whole number"))
+}
+
+pub fn number(of: &Value, key: &str) -> Result<f64, Wrong> {
+    maybe_number(of, key)?.ok_or_else(|| format!("{key} is missing"))
+}
+
+pub fn maybe_number(of: &Value, key: &str) -> Result<Option<f64>, Wrong> {
+    let finite =
+        |v: &Value| v.as_f64().filter(|n| n.is_finite()).ok_or_else(|| format!("{key} is not a number"));
+    present(of, key).map(finite).transpose()
+}
+
+pub fn flag(of: &Value, key: &str) -> bool {
+    of.get(key).and_then(Value::as_bool).unwrap_or(false)
+}
+
+pub fn span(of: &Value, key: &str) -> Result<Time, Wrong> {
+    Ok(tenths(number(of, key)?))
+}
+
+pub fn clock(batch: &Value) -> Result<Time, Wrong> {
+    Ok(Time((number(batch, "sim_time_ms")? * 10.0).ceil().clamp(-1e15, 1e15) as i64))
+}
+
+pub fn req(event: &Value) -> Result<ReqId, Wrong> {
+    Ok(ReqId(id(whole(event, "msg_id")?, "msg_id")?))
+}
+
+fn id(number: u64, key: &str) -> Result<u32, Wrong> {
+    u32::try_from(number).map_err(|_| format!("{key} is past 32 bits"))
+}
+
+pub fn arrival(event: &Value) -> Result<Arrival, Wrong> {
+    let flags = present(event, "flags").and_then(Value::as_u64).unwrap_or(0);
+    let hint = maybe_number(event, "cost_ms")?.filter(|ms| flags & 1 != 0 && *ms > 0.0);
+    let repeats = present(event, "same_as").map(|_| whole(event, "same_as")).transpose()?.filter(|n| *n != 0);
+    // Lying time is rounded up and the wait down, so that both ends of a due time come early.
+    let lay = maybe_number(event, "lay_ms")?.unwrap_or(0.0);
+    Ok(Arrival {
+        id: req(event)?,
+        handler: HandlerId(whole(event, "category")? as usize),
+        customer: present(event, "client_group").and_then(Value::as_u64).map(|n| CustomerId(n as usize)),
+        hint: hint.map(tenths),
+        retry: flags & 2 != 0,
+        repeats: repeats.map(|n| id(n, "same_as")).transpose()?.map(ReqId),
+        kb: maybe_number(event, "mem_kb")?.unwrap_or(0.0),
+        lay: Time((lay * 10.0).ceil().clamp(0.0, 1e15) as i64),
+        wait: maybe_number(event, "grace_ms")?.filter(|ms| *ms > 0.0).map(tenths),
+    })
+}
+
+pub fn run_end(event: &Value) -> Result<RunEnd, Wrong> {
+    match text(event, "ending")? {
+        "delivered" => Ok(RunEnd::Done),
+        "app_error" => Ok(RunEnd::Errored),
+        "revoked" => Ok(RunEnd::Stopped),
+        "unused" => Ok(RunEnd::Void),
+        other => Err(format!("unknown ending {other} of a run")),
+    }
+}
+
+pub fn call_end(event: &Value) -> Result<CallEnd, Wrong> {
+    match text(event, "ending")? {
+        "delivered" => Ok(CallEnd::Done),
+        "shed" | "dial_failed" | "unused" => Ok(CallEnd::NeverRan),
+        "app_error" | "expired" | "dropped" | "revoked" => Ok(CallEnd::Unknown),
+        other => Err(format!("unknown ending {other} of a call")),
+    }
+}
+
+/// The gauges in the order of the settings' list; `names` is kept by the caller of the wire's decoding.
+pub fn gauges(event: &Value) -> Result<Gauges, Wrong> {
+    let row = event.get("usage").and_then(Value::as_array).ok_or("usage is missing or not a row")?;
+    let at = |place: usize| row.get(place).and_then(Value::as_f64);
+    Ok(Gauges { busy: at(0), runnable: at(1), memory: at(2) })
+}
--- /dev/null
+++ b/crates/adapter/src/main.rs
@@ -0,0 +1,85 @@
+//! The bench's wire on standard input and output: decodes events into calls on the decider of their instance
+//! and encodes what it returns. One decider for each instance, nothing shared, nothing decided here.
+mod decode;
+mod encode;
+mod settings;
+
+use cottondyke_decide::decide::Decider;
+use cottondyke_decide::types::{Results, Time};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+
+/// What is wrong with a line.
+pub type Wrong = String;
+
+fn event(
+    deciders: &mut BTreeMap<String, Decider>,
+    now: Time,
+    event: &Value,
+) -> Result<Option<(String, Results)>, Wrong> {
+    let who = decode::text(event, "who")?;
+    let word = decode::text(event, "cmd")?;
+    let results = match word {
+        "Create" => {
+            let conf =
+                event.get("conf").filter(|c| c.is_object()).ok_or("Create without its settings (conf)")?;
+            let mut decider = settings::decider(now, decode::whole(event, "salt")?, conf)?;
+            let results = decider.wake(now, Default::default());
+            deciders.insert(who.to_string(), decider);
+            results
+        }
+        "Destroy" => {
+            deciders.remove(who);
+            return Ok(None);
+        }
+        _ => {
+            let decider =
+                deciders.get_mut(who).ok_or_else(|| format!("{word} for {who}, which is not running"))?;
+            match word {
+                "Incoming" => decider.arrival(now, decode::arrival(event)?),
+                "Ended" => decider.run_ended(now, decode::req(event)?, decode::run_end(event)?),
+                "NeedsDep" => decider.call_wanted(now, decode::req(event)?),
+                "CallResult" => decider.call_ended(now, decode::req(event)?, decode::call_end(event)?),
+                "Abandoned" => decider.caller_gone(now, decode::req(event)?),
+                "Leaving" => decider.leaving(now, decode::span(event, "grace_ms")?),
+                "Wake" => decider.wake(now, decode::gauges(event)?),
+                _ => return Err(format!("unknown event {word}")),
+            }
+        }
+    };
+    Ok(Some((who.to_string(), results)))
+}
+
+fn batch(deciders: &mut BTreeMap<String, Decider>, line: &str) -> Result<Value, Wrong> {
+    let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+    let now = decode::clock(&batch)?;
+    let events =
+        batch.get("arrivals").and_then(Value::as_array).ok_or("a batch without its list of arrivals")?;
+    let mut actions = Vec::new();
+    for one in events {
+        if let Some((who, results)) = event(deciders, now, one)? {
+            encode::results(&who, results, &mut actions);
+        }
+    }
+    Ok(json!({ "cmds": actions }))
+}
+
+fn run() -> Result<(), Wrong> {
+    let mut deciders = BTreeMap::new();
+    let mut out = io::BufWriter::new(io::stdout().lock());
+    for (number, line) in io::stdin().lock().lines().enumerate() {
+        let line = line.map_err(|e| format!("standard input: {e}"))?;
+        let reply = batch(&mut deciders, &line).map_err(|wrong| format!("line {}: {wrong}", number + 1))?;
+        serde_json::to_writer(&mut out, &reply).map_err(|e| format!("standard output: {e}"))?;
+        writeln!(out).and_then(|_| out.flush()).map_err(|e| format!("standard output: {e}"))?;
+    }
+    Ok(())
+}
+
+fn main() {
+    if let Err(wrong) = run() {
+        eprintln!("cottondyke-adapter: {wrong}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/settings.rs
@@ -0,0 +1,91 @@
+//! From the start-up settings of an instance to a decider: each part is handed its own few.
+use crate::decode::{flag, maybe_number, number, text, whole};
+use crate::Wrong;
+use cottondyke_decide::decide::*;
+use cottondyke_decide::types::*;
+use serde_json::Value;
+
+fn span(of: &Value, key: &str) -> Result<Time, Wrong> {
+    Ok(Time((maybe_number(of, key)?.unwrap_or(0.0) * 10.0).clamp(0.0, 1e15) as i64))
+}
+
+fn list<'a>(of: &'a Value, key: &str) -> &'a [Value] {
+    of.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+fn handler(place: usize, class: &Value, info: &Value) -> Result<Handler, Wrong> {
+    let kind = match text(class, "effect")? {
+        "repeatable" => Kind::Replayable,
+        "by_key" => Kind::Uniqued,
+        "once" => Kind::NonReplayable,
+        other => return Err(format!("unknown effect {other}")),
+    };
+    Ok(Handler {
+        kind,
+        response_target: span(class, "aim_ms")?.max(Time(1)),
+        target_stretch: maybe_number(class, "aim_stretch")?.unwrap_or(0.0),
+        client_timeout: span(class, "deadline_ms")?.max(Time(1)),
+        value: number(class, "credit")?,
+        late_value: maybe_number(class, "late_value")?.unwrap_or(0.0),
+        window: span(class, "dedup_window_ms")?,
+        calls: list(info, "class_calls").get(place).and_then(Value::as_bool).unwrap_or(true),
+        skip_value: list(info, "class_skip_worth").get(place).and_then(Value::as_f64).unwrap_or(0.0),
+    })
+}
+
+pub fn decider(now: Time, seed: u64, conf: &Value) -> Result<Decider, Wrong> {
+    let part = |key: &str| conf.get(key).filter(|v| v.is_object()).ok_or(format!("settings without {key}"));
+    let (info, rules, blend) = (part("family_info")?, part("obligations")?, part("blend")?);
+    let policy = part("policy_limits")?;
+    let classes = list(conf, "classes").iter().enumerate();
+    let handlers = classes.map(|(place, c)| handler(place, c, info)).collect::<Result<Vec<_>, _>>()?;
+    let quotas =
+        list(conf, "customers").iter().map(|c| number(c, "quota_per_s")).collect::<Result<Vec<_>, _>>()?;
+    let weight = |key: &str| maybe_number(blend, key).map(|w| w.unwrap_or(0.0));
+    let weights =
+        [weight("whole")? + weight("worst_window")?, weight("worst_class")?, weight("worst_tenant")?];
+    let by_work = conf.get("worth_by").and_then(Value::as_str) == Some("work");
+    let over_share = maybe_number(conf, "over_share_worth")?.unwrap_or(1.0);
+    let fleet = maybe_number(conf, "group_size")?.unwrap_or(1.0);
+    let cores = whole(info, "n_cores")? as usize;
+    let cold = flag(info, "cold");
+    let first = if cold { number(rules, "start_capacity")? } else { 1.0 };
+    let halting = match text(info, "preemption")? {
+        "none" => Halting::Never,
+        "drop" => Halting::Drop,
+        "pause" => Halting::Pause,
+        other => return Err(format!("unknown preemption {other}")),
+    };
+    let reading = match text(info, "advert")? {
+        "none" => Reading::Unused,
+        "bias" => Reading::Share,
+        "tokens" => Reading::Credit,
+        "min_rank" => Reading::Rank,
+        other => return Err(format!("unknown advert {other}")),
+    };
+    let longest_pause =
+        if flag(policy, "retry_after") { span(policy, "max_retry_after_ms")? } else { Time(0) };
+    let factor = number(rules, "overload_factor")?;
+    let interval = handlers.iter().map(|h| h.response_target).min().unwrap_or(Time(1));
+    let share = maybe_number(info, "dep_share")?;
+    let callers = maybe_number(info, "upstreams")?.unwrap_or(1.0);
+    let pool = Pool::new(now, cores, factor, span(rules, "fall_ms")?, first, span(rules, "warm_within_ms")?);
+    let memory = Memory::new(
+        number(info, "mem_limit_kb")?,
+        maybe_number(info, "blowup")?.unwrap_or(1.0),
+        maybe_number(info, "kb_per_key")?.unwrap_or(0.0),
+    );
+    Ok(Decider::new(
+        seed,
+        span(conf, "resolution_ms")?.max(Time(1)),
+        halting,
+        Hold::new(handlers.clone(), quotas, fleet, over_share, by_work, weights),
+        pool,
+        Threshold::new(interval, &handlers),
+        Costs::new(now, cores, &handlers, first),
+        memory,
+        Calls::new(share, span(info, "calls_over_ms")?, span(info, "linger_ms")?, cores),
+        Drain::new(span(rules, "drain_grace_ms")?),
+        Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?),
+    ))
+}
