Bound calls below by a told share only where one is told

The lower tier's settings carry a share of 0; read as a bound it kept every call of the returns deployment from going out. Gauges are now found by name in each row.

--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -1,4 +1,5 @@
 //! From the wire's values to the decider's.
+use crate::settings::Places;
 use crate::Wrong;
 use cottondyke_decide::types::*;
 use serde_json::Value;
@@ -88,9 +89,8 @@
     }
 }
 
-/// The gauges in the order of the settings' list; `names` is kept by the caller of the wire's decoding.
-pub fn gauges(event: &Value) -> Result<Gauges, Wrong> {
+pub fn gauges(event: &Value, places: &Places) -> Result<Gauges, Wrong> {
     let row = event.get("usage").and_then(Value::as_array).ok_or("usage is missing or not a row")?;
-    let at = |place: usize| row.get(place).and_then(Value::as_f64);
-    Ok(Gauges { busy: at(0), runnable: at(1), memory: at(2) })
+    let at = |place: Option<usize>| row.get(place?).and_then(Value::as_f64);
+    Ok(Gauges { busy: at(places.busy), runnable: at(places.runnable), memory: at(places.memory) })
 }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -4,20 +4,19 @@
 mod encode;
 mod settings;
 
+use crate::settings::Places;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::{Results, Time};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
+type Instances = BTreeMap<String, (Decider, Places)>;
+
 /// What is wrong with a line.
 pub type Wrong = String;
 
-fn event(
-    deciders: &mut BTreeMap<String, Decider>,
-    now: Time,
-    event: &Value,
-) -> Result<Option<(String, Results)>, Wrong> {
+fn event(instances: &mut Instances, now: Time, event: &Value) -> Result<Option<(String, Results)>, Wrong> {
     let who = decode::text(event, "who")?;
     let word = decode::text(event, "cmd")?;
     let results = match word {
@@ -26,16 +25,17 @@
                 event.get("conf").filter(|c| c.is_object()).ok_or("Create without its settings (conf)")?;
             let mut decider = settings::decider(now, decode::whole(event, "salt")?, conf)?;
             let results = decider.wake(now, Default::default());
-            deciders.insert(who.to_string(), decider);
+            instances.insert(who.to_string(), (decider, settings::places(conf)));
             results
         }
         "Destroy" => {
-            deciders.remove(who);
+            instances.remove(who);
             return Ok(None);
         }
         _ => {
-            let decider =
-                deciders.get_mut(who).ok_or_else(|| format!("{word} for {who}, which is not running"))?;
+            let running = instances.get_mut(who);
+            let (decider, places) =
+                running.ok_or_else(|| format!("{word} for {who}, which is not running"))?;
             match word {
                 "Incoming" => decider.arrival(now, decode::arrival(event)?),
                 "Ended" => decider.run_ended(now, decode::req(event)?, decode::run_end(event)?),
@@ -43,7 +43,7 @@
                 "CallResult" => decider.call_ended(now, decode::req(event)?, decode::call_end(event)?),
                 "Abandoned" => decider.caller_gone(now, decode::req(event)?),
                 "Leaving" => decider.leaving(now, decode::span(event, "grace_ms")?),
-                "Wake" => decider.wake(now, decode::gauges(event)?),
+                "Wake" => decider.wake(now, decode::gauges(event, places)?),
                 _ => return Err(format!("unknown event {word}")),
             }
         }
@@ -51,14 +51,14 @@
     Ok(Some((who.to_string(), results)))
 }
 
-fn batch(deciders: &mut BTreeMap<String, Decider>, line: &str) -> Result<Value, Wrong> {
+fn batch(instances: &mut Instances, line: &str) -> Result<Value, Wrong> {
     let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
     let now = decode::clock(&batch)?;
     let events =
         batch.get("arrivals").and_then(Value::as_array).ok_or("a batch without its list of arrivals")?;
     let mut actions = Vec::new();
     for one in events {
-        if let Some((who, results)) = event(deciders, now, one)? {
+        if let Some((who, results)) = event(instances, now, one)? {
             encode::results(&who, results, &mut actions);
         }
     }
@@ -66,11 +66,11 @@
 }
 
 fn run() -> Result<(), Wrong> {
-    let mut deciders = BTreeMap::new();
+    let mut instances = BTreeMap::new();
     let mut out = io::BufWriter::new(io::stdout().lock());
     for (number, line) in io::stdin().lock().lines().enumerate() {
         let line = line.map_err(|e| format!("standard input: {e}"))?;
-        let reply = batch(&mut deciders, &line).map_err(|wrong| format!("line {}: {wrong}", number + 1))?;
+        let reply = batch(&mut instances, &line).map_err(|wrong| format!("line {}: {wrong}", number + 1))?;
         serde_json::to_writer(&mut out, &reply).map_err(|e| format!("standard output: {e}"))?;
         writeln!(out).and_then(|_| out.flush()).map_err(|e| format!("standard output: {e}"))?;
     }
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -13,6 +13,19 @@
     of.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
+/// Where the gauges that the decider reads stand in each row.
+pub struct Places {
+    pub busy: Option<usize>,
+    pub runnable: Option<usize>,
+    pub memory: Option<usize>,
+}
+
+pub fn places(conf: &Value) -> Places {
+    let names = conf.get("family_info").map_or(&[][..], |info| list(info, "own_stats"));
+    let place = |name: &str| names.iter().position(|n| n.as_str() == Some(name));
+    Places { busy: place("cpu_busy"), runnable: place("runnable"), memory: place("mem_used") }
+}
+
 fn handler(place: usize, class: &Value, info: &Value) -> Result<Handler, Wrong> {
     let kind = match text(class, "effect")? {
         "repeatable" => Kind::Replayable,
@@ -67,7 +80,10 @@
         if flag(policy, "retry_after") { span(policy, "max_retry_after_ms")? } else { Time(0) };
     let factor = number(rules, "overload_factor")?;
     let interval = handlers.iter().map(|h| h.response_target).min().unwrap_or(Time(1));
-    let share = maybe_number(info, "dep_share")?;
+    let share = match text(info, "below")? {
+        "common" => maybe_number(info, "dep_share")?,
+        _ => None,
+    };
     let callers = maybe_number(info, "upstreams")?.unwrap_or(1.0);
     let pool = Pool::new(now, cores, factor, span(rules, "fall_ms")?, first, span(rules, "warm_within_ms")?);
     let memory = Memory::new(
