--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -41,7 +41,6 @@
         value: number(class, "credit")?,
         late_value: maybe_number(class, "late_value")?.unwrap_or(0.0),
         window: span(class, "dedup_window_ms")?,
-        calls: list(info, "class_calls").get(place).and_then(Value::as_bool).unwrap_or(true),
         skip_value: list(info, "class_skip_worth").get(place).and_then(Value::as_f64).unwrap_or(0.0),
     })
 }
@@ -85,23 +84,21 @@
         _ => None,
     };
     let callers = maybe_number(info, "upstreams")?.unwrap_or(1.0);
-    let pool = Pool::new(now, cores, factor, span(rules, "fall_ms")?, first, span(rules, "warm_within_ms")?);
+    let pool = Pool::new(now, cores, factor, first, span(rules, "warm_within_ms")?);
     let memory = Memory::new(
         number(info, "mem_limit_kb")?,
         maybe_number(info, "blowup")?.unwrap_or(1.0),
         maybe_number(info, "kb_per_key")?.unwrap_or(0.0),
     );
     Ok(Decider::new(
-        seed,
         span(conf, "resolution_ms")?.max(Time(1)),
-        halting,
-        Hold::new(handlers.clone(), quotas, fleet, over_share, by_work, weights),
+        Hold::new(&handlers, &quotas, fleet, over_share, by_work, weights),
         pool,
-        Threshold::new(interval, &handlers),
-        Costs::new(now, cores, &handlers, first),
+        Threshold::new(interval, halting, &handlers),
+        Costs::new(now, &handlers, first),
         memory,
         Calls::new(share, span(info, "calls_over_ms")?, span(info, "linger_ms")?, cores),
         Drain::new(span(rules, "drain_grace_ms")?),
-        Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?),
+        Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?, seed),
     ))
 }
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -71,7 +71,6 @@
     pub late_value: f64,
     /// How long a uniqued req may come back.
     pub window: Time,
-    pub calls: bool,
     /// The part of the value left when a call was skipped; 0 forbids skipping.
     pub skip_value: f64,
 }
@@ -169,3 +168,120 @@
     pub advice: Option<f64>,
     pub wake: Option<Time>,
 }
+
+/// Where a req is between its arrival and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Held,
+    /// Waits for the answer of the req it repeats.
+    Joined,
+    OnCore,
+    /// Waits to make a call.
+    Wanting,
+    Calling,
+}
+
+/// What is noted of a req from its arrival to its end.
+#[derive(Clone, Debug)]
+pub struct Req {
+    pub new: Arrival,
+    /// Hinted work, or a stand-in where there is no hint.
+    pub base: f64,
+    pub arrived: Time,
+    /// The end of its response target.
+    pub target: Time,
+    pub due: Time,
+    pub phase: Phase,
+    pub answered: bool,
+    pub started: Time,
+    /// The start of the present phase.
+    pub since: Time,
+    /// The costs' clock at the start of the present phase.
+    pub clock: f64,
+    /// Core time before the present phase.
+    pub spent: f64,
+    /// Time at calls before the present phase.
+    pub away: f64,
+    /// Calls made for the present need.
+    pub tries: u32,
+}
+
+impl Req {
+    pub fn new(new: Arrival, now: Time, base: f64, target: Time, due: Time) -> Self {
+        Req {
+            new,
+            base,
+            arrived: now - new.lay,
+            target,
+            due,
+            phase: Phase::Held,
+            answered: false,
+            started: now,
+            since: now,
+            clock: 0.0,
+            spent: 0.0,
+            away: 0.0,
+            tries: 0,
+        }
+    }
+
+    pub fn handler(&self) -> usize {
+        self.new.handler.0
+    }
+
+    pub fn live(&self, phase: Phase) -> bool {
+        self.phase == phase && !self.answered
+    }
+}
+
+/// Sums over a span of time, kept in fixed buckets of time that are used again in a ring.
+#[derive(Clone, Debug)]
+pub struct Ring<const K: usize, const SLOTS: usize> {
+    width: i64,
+    turn: i64,
+    slots: [[f64; K]; SLOTS],
+}
+
+impl<const K: usize, const SLOTS: usize> Ring<K, SLOTS> {
+    pub fn new(span: Time) -> Self {
+        Ring { width: (span.0 / SLOTS as i64).max(1), turn: 0, slots: [[0.0; K]; SLOTS] }
+    }
+
+    pub fn span(&self) -> f64 {
+        (self.width * SLOTS as i64) as f64
+    }
+
+    fn slot(turn: i64) -> usize {
+        turn.rem_euclid(SLOTS as i64) as usize
+    }
+
+    pub fn sums(&self, now: Time) -> [f64; K] {
+        let oldest = now.0.div_euclid(self.width) - SLOTS as i64;
+        let live = (0..SLOTS as i64).map(|back| self.turn - back).filter(|turn| *turn > oldest);
+        live.fold([0.0; K], |sums, turn| std::array::from_fn(|k| sums[k] + self.slots[Self::slot(turn)][k]))
+    }
+
+    pub fn add(&mut self, now: Time, k: usize, amount: f64) {
+        let turn = now.0.div_euclid(self.width).max(self.turn);
+        for old in (self.turn + 1).max(turn - SLOTS as i64 + 1)..=turn {
+            self.slots[Self::slot(old)] = [0.0; K];
+        }
+        self.turn = turn;
+        self.slots[Self::slot(turn)][k] += amount;
+    }
+}
+
+/// A multiply-with-carry generator.
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Self {
+        Chance(seed % 0xffff_fffe + 1)
+    }
+
+    /// From 0 up to just under 1.
+    pub fn draw(&mut self) -> f64 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
