--- a/crates/adapter/src/encode.rs
+++ b/crates/adapter/src/encode.rs
@@ -20,12 +20,12 @@
         }
         to.push(action);
     }
-    to.extend(results.release.iter().map(|id| on("ReleaseKey", *id)));
     for (id, time) in &results.keep {
         let mut action = on("Keep", *id);
         action["hold_for_ms"] = json!(ms(*time));
         to.push(action);
     }
+    to.extend(results.release.iter().map(|id| on("ReleaseKey", *id)));
     to.extend(results.start.iter().map(|id| on("Dispatch", *id)));
     to.extend(results.join.iter().map(|id| on("Join", *id)));
     for (id, time) in &results.call {
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -328,9 +328,9 @@
 
 /// Gone through from the top after every input until none fires; each firing settles one req.
 const RULES: [(Condition, Effect); 12] = [
-    (Decider::repeat, Decider::join),
     (Decider::due_unstarted, Decider::turn_away),
     (Decider::due, Decider::give_up),
+    (Decider::repeat, Decider::join),
     (Decider::overdue, Decider::give_up),
     (Decider::crowding, Decider::give_up),
     (Decider::swelling_hold, Decider::turn_away),
@@ -438,7 +438,7 @@
                 (req.phase, req.clock) = (Phase::OnCore, self.costs.clock);
             } else if again && req.tries < MOST_TRIES {
                 req.phase = Phase::Wanting;
-            } else if handler.skip_value > 0.0 {
+            } else if handler.skip_value > 0.0 && !req.answered {
                 self.skip(now, id, &mut out);
             } else {
                 self.give_up(now, id, &mut out);
@@ -608,7 +608,7 @@
     // The effects.
 
     fn give_up(&mut self, now: Time, id: ReqId, out: &mut Results) {
-        let Some(req) = self.reqs.get_mut(&id) else { return };
+        let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return };
         out.fail.push(id);
         req.answered = true;
         let req = req.clone();
@@ -684,7 +684,9 @@
 
     /// The same where nothing of it ran: it is turned away.
     fn due_unstarted(&self, now: Time) -> Option<ReqId> {
-        self.held().find(|r| self.due_at(r) - self.resolution <= now).map(|r| r.new.id)
+        self.held()
+            .find(|r| r.new.repeats.is_none() && self.due_at(r) - self.resolution <= now)
+            .map(|r| r.new.id)
     }
 
     /// SERT: a replayable run past the threshold is stopped for good.
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -10,7 +10,7 @@
 
     /// A part or multiple of a span.
     pub fn times(self, ratio: f64) -> Time {
-        Time((self.0 as f64 * ratio) as i64)
+        Time((self.0 as f64 * ratio).round() as i64)
     }
 
     pub fn num(self) -> f64 {
@@ -157,8 +157,8 @@
     pub stop: Vec<ReqId>,
     pub fail: Vec<ReqId>,
     pub shed: Vec<Shed>,
-    pub release: Vec<ReqId>,
     pub keep: Vec<(ReqId, Time)>,
+    pub release: Vec<ReqId>,
     pub start: Vec<ReqId>,
     pub join: Vec<ReqId>,
     /// A call to make, and how long before it is given up.
--- /dev/null
+++ b/crates/decide/tests/decide/main.rs
@@ -0,0 +1,3 @@
+mod plain;
+mod rules;
+mod world;
--- /dev/null
+++ b/crates/decide/tests/decide/world.rs
@@ -0,0 +1,309 @@
+//! A small honest model of a server: what runs, is held, kept and answered. It carries out results in their
+//! documented order and fails the test at the first broken rule.
+use cottondyke_decide::decide::*;
+use cottondyke_decide::types::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    Held,
+    Joined,
+    OnCore,
+    Paused,
+    Wanting,
+    Calling,
+    Over,
+}
+
+#[derive(Clone, Debug)]
+pub struct Noted {
+    pub arrived: Time,
+    pub due: Time,
+    pub kind: Kind,
+    pub kb: f64,
+    pub mark: Option<u32>,
+    pub state: State,
+    pub answered: bool,
+    pub ran: bool,
+    pub calls_unknown: bool,
+}
+
+#[derive(Clone, Copy)]
+pub struct Set {
+    pub halting: Halting,
+    pub told: bool,
+    pub cold: bool,
+    pub reading: Reading,
+    pub share: Option<f64>,
+    pub skip: f64,
+    pub limit_kb: f64,
+}
+
+pub const PLAIN: Set = Set {
+    halting: Halting::Drop,
+    told: false,
+    cold: false,
+    reading: Reading::Share,
+    share: None,
+    skip: 0.0,
+    limit_kb: 1e6,
+};
+pub const CORES: usize = 2;
+pub const FACTOR: f64 = 4.0;
+pub const FIRST: f64 = 0.25;
+pub const WARM: Time = Time(100_000);
+pub const WINDOW: Time = Time(20_000);
+pub const GRACE: Time = Time(10_000);
+pub const BLOWUP: f64 = 8.0;
+pub const PER_KEY: f64 = 5.0;
+pub const TARGET: Time = Time(10_000);
+pub const TIMEOUT: Time = Time(30_000);
+
+pub struct World {
+    pub now: Time,
+    pub set: Set,
+    pub decider: Decider,
+    pub reqs: BTreeMap<ReqId, Noted>,
+    pub keys: BTreeMap<ReqId, Time>,
+    pub left: Option<(Time, Time)>,
+    pub wakes: Vec<Time>,
+    pub shed: Vec<Shed>,
+    pub frozen: bool,
+    pub most_passes: usize,
+    pub advice: f64,
+    next: u32,
+}
+
+pub fn handler(kind: Kind, skip: f64) -> Handler {
+    Handler {
+        kind,
+        response_target: TARGET,
+        target_stretch: 0.0,
+        client_timeout: TIMEOUT,
+        value: 1.0,
+        late_value: 0.2,
+        window: WINDOW,
+        skip_value: skip,
+    }
+}
+
+impl World {
+    pub fn new(set: Set) -> Self {
+        let now = Time(50_000);
+        let kinds = [Kind::Replayable, Kind::Uniqued, Kind::NonReplayable];
+        let handlers = kinds.map(|k| handler(k, set.skip));
+        let first = if set.cold { FIRST } else { 1.0 };
+        let decider = Decider::new(
+            Time(20),
+            Hold::new(&handlers, &[50.0, 50.0], 10.0, 0.1, false, [0.6, 0.2, 0.2]),
+            Pool::new(now, CORES, FACTOR, first, WARM),
+            Threshold::new(TARGET, set.halting, &handlers),
+            Costs::new(now, &handlers, first),
+            Memory::new(set.limit_kb, BLOWUP, PER_KEY),
+            Calls::new(set.share, TARGET, Time(2000), CORES),
+            Drain::new(GRACE),
+            Advice::new(set.reading, 4.0, TARGET, TARGET, 7),
+        );
+        let (reqs, keys, wakes, shed) = (BTreeMap::new(), BTreeMap::new(), vec![], vec![]);
+        let (left, frozen, most_passes, advice, next) = (None, false, 0, 1.0, 1);
+        let mut world =
+            World { now, set, decider, reqs, keys, left, wakes, shed, frozen, most_passes, advice, next };
+        world.wake(0.0);
+        world
+    }
+
+    pub fn arrive(&mut self, kind: usize, lay: Time, wait: Time, mark: Option<u32>) -> ReqId {
+        let id = ReqId(self.next);
+        self.next += 1;
+        let kinds = [Kind::Replayable, Kind::Uniqued, Kind::NonReplayable];
+        let kind = kinds[kind % 3];
+        let arrived = self.now - lay;
+        let mark = mark.filter(|_| kind == Kind::Uniqued);
+        // A repeat is known by the entry that lived when it reached the machine.
+        let same = |(other, n): &(&ReqId, &Noted)| {
+            n.mark.is_some() && n.mark == mark && self.keys.get(other).is_some_and(|end| *end > arrived)
+        };
+        let repeats = self.reqs.iter().filter(same).map(|(other, _)| *other).next_back();
+        let due = if self.set.told { self.now + wait } else { (arrived + TIMEOUT).max(self.now) };
+        let wait = self.set.told.then_some(wait);
+        let (state, answered, ran) = (State::Held, false, false);
+        let noted = Noted { arrived, due, kind, kb: 10.0, mark, state, answered, ran, calls_unknown: false };
+        self.reqs.insert(id, noted);
+        let place = kinds.iter().position(|k| *k == kind).unwrap_or(0);
+        let customer = Some(CustomerId(id.0 as usize % 3));
+        let (hint, retry) = (None, id.0 % 5 == 0);
+        let handler = HandlerId(place);
+        let new = Arrival { id, handler, customer, hint, retry, repeats, kb: 10.0, lay, wait };
+        let results = self.decider.arrival(self.now, new);
+        self.apply(results);
+        id
+    }
+
+    pub fn end(&mut self, id: ReqId, end: RunEnd) {
+        let noted = self.reqs.get_mut(&id).unwrap();
+        noted.state = State::Over;
+        noted.answered |= matches!(end, RunEnd::Done | RunEnd::Errored);
+        let results = self.decider.run_ended(self.now, id, end);
+        self.apply(results);
+    }
+
+    pub fn want_call(&mut self, id: ReqId) {
+        let noted = self.reqs.get_mut(&id).unwrap();
+        (noted.state, noted.calls_unknown) = (State::Wanting, false);
+        let answered = noted.answered;
+        if answered {
+            self.end(id, RunEnd::Stopped);
+            return;
+        }
+        let results = self.decider.call_wanted(self.now, id);
+        self.apply(results);
+    }
+
+    pub fn end_call(&mut self, id: ReqId, end: CallEnd) {
+        let noted = self.reqs.get_mut(&id).unwrap();
+        noted.state = if end == CallEnd::Done { State::OnCore } else { State::Wanting };
+        noted.calls_unknown |= end == CallEnd::Unknown;
+        let results = self.decider.call_ended(self.now, id, end);
+        self.apply(results);
+    }
+
+    pub fn gone(&mut self, id: ReqId) {
+        let noted = self.reqs.get_mut(&id).unwrap();
+        noted.answered = true;
+        if matches!(noted.state, State::Held | State::Joined) {
+            noted.state = State::Over;
+        }
+        let at_call = matches!(noted.state, State::Wanting | State::Calling);
+        let results = self.decider.caller_gone(self.now, id);
+        self.apply(results);
+        if at_call {
+            self.end(id, RunEnd::Stopped);
+        }
+    }
+
+    pub fn leave(&mut self, left: Time) {
+        self.left = Some((self.now, self.now + left));
+        let results = self.decider.leaving(self.now, left);
+        self.apply(results);
+    }
+
+    pub fn wake(&mut self, busy: f64) {
+        let gauges = Gauges { busy: Some(busy), runnable: None, memory: None };
+        let results = self.decider.wake(self.now, gauges);
+        self.apply(results);
+    }
+
+    /// Lets time pass, waking the decider whenever it asked for it.
+    pub fn pass(&mut self, span: Time) {
+        let end = self.now + span;
+        while let Some(next) = self.wakes.iter().min().copied().filter(|at| *at <= end) {
+            self.now = self.now.max(next);
+            self.wakes.retain(|at| *at > next);
+            self.wake(if self.count(State::OnCore) >= CORES { 1.0 } else { 0.5 });
+        }
+        self.now = end;
+        self.check();
+    }
+
+    pub fn count(&self, state: State) -> usize {
+        self.reqs.values().filter(|n| n.state == state).count()
+    }
+
+    pub fn ids(&self, state: State) -> Vec<ReqId> {
+        self.reqs.iter().filter(|(_, n)| n.state == state).map(|(id, _)| *id).collect()
+    }
+
+    fn apply(&mut self, results: Results) {
+        self.most_passes = self.most_passes.max(self.decider.passes);
+        let mut ended = Vec::new();
+        for id in results.stop {
+            let noted = self.reqs.get_mut(&id).unwrap();
+            assert_ne!(self.set.halting, Halting::Never, "a stop where none may be");
+            assert_eq!(noted.kind, Kind::Replayable, "effect twice: a run that may not repeat was stopped");
+            if noted.state == State::OnCore && !self.frozen {
+                noted.state = if noted.answered { State::Over } else { State::Paused };
+                ended.push(id);
+            }
+        }
+        for id in results.fail {
+            let noted = self.reqs.get_mut(&id).unwrap();
+            assert!(!noted.answered, "lost: {id:?} answered twice");
+            noted.answered = true;
+            match noted.state {
+                State::Wanting | State::Calling => ended.push(id),
+                State::Held | State::Joined | State::Paused => noted.state = State::Over,
+                _ => {}
+            }
+        }
+        for shed in results.shed {
+            let noted = self.reqs.get_mut(&shed.id).unwrap();
+            assert!(!noted.answered, "lost: {shed:?} answered twice");
+            assert!(!noted.ran && noted.state == State::Held, "a req that ran was turned away");
+            (noted.answered, noted.state) = (true, State::Over);
+            self.shed.push(shed);
+        }
+        for (id, span) in results.keep {
+            self.keys.insert(id, self.now + span);
+        }
+        for id in results.release {
+            assert!(self.keys.remove(&id).is_some(), "released what was not kept");
+        }
+        for id in results.start {
+            let (noted, left) = (&self.reqs[&id], self.left);
+            assert_eq!(noted.state, State::Held, "started what is not held");
+            assert!(!noted.ran, "effect twice: {id:?} started again");
+            assert!(left.is_none_or(|(at, _)| noted.arrived <= at + GRACE), "drain: ran what came late");
+            let twin = self.reqs.values().find(|n| n.ran && n.mark.is_some() && n.mark == noted.mark);
+            let clear = twin.is_none_or(|n| noted.arrived - n.arrived > WINDOW);
+            assert!(clear || noted.kind != Kind::Uniqued, "effect twice: a repeat ran within its window");
+            let noted = self.reqs.get_mut(&id).unwrap();
+            (noted.state, noted.ran) = (State::OnCore, true);
+        }
+        for id in results.join {
+            let noted = self.reqs.get_mut(&id).unwrap();
+            assert_eq!(noted.state, State::Held, "joined what is not held");
+            noted.state = State::Joined;
+        }
+        for (id, cap) in results.call {
+            let noted = self.reqs.get_mut(&id).unwrap();
+            assert_eq!(noted.state, State::Wanting, "a call that nothing waits for");
+            assert!(cap > Time(0));
+            let safe = noted.kind == Kind::Replayable || !noted.calls_unknown;
+            assert!(safe, "effect twice: a call made again that may have run");
+            noted.state = State::Calling;
+        }
+        for id in results.skip {
+            let noted = self.reqs.get_mut(&id).unwrap();
+            assert!(self.set.skip > 0.0 && noted.state == State::Wanting, "a skip that is not allowed");
+            noted.state = State::OnCore;
+        }
+        self.advice = results.advice.unwrap_or(self.advice);
+        self.wakes.extend(results.wake.map(|span| self.now + span));
+        self.check();
+        for id in ended {
+            self.end(id, RunEnd::Stopped);
+        }
+    }
+
+    fn check(&self) {
+        let now = self.now;
+        let slack = Time(400);
+        for (id, noted) in &self.reqs {
+            assert!(noted.answered || noted.due + slack >= now, "lost: {id:?} {noted:?} at {now:?}");
+            let stop = self.left.map_or(Time::MAX, |(_, stop)| stop);
+            assert!(noted.answered || now < stop, "drain: {id:?} unanswered when stopped");
+        }
+        let warm = if self.set.cold { (now - Time(50_000)).num() / WARM.num() } else { 1.0 };
+        let ceiling = 1.0 + (FACTOR - 1.0) * (FIRST + (1.0 - FIRST) * warm).min(1.0);
+        let on_core = self.count(State::OnCore) as f64;
+        assert!(on_core <= CORES as f64 * ceiling, "fall-over: {on_core} on the cores");
+        let need = |n: &Noted| match n.state {
+            State::Over => 0.0,
+            State::Held | State::Joined => n.kb,
+            _ => n.kb * BLOWUP,
+        };
+        let need = self.reqs.values().map(need).sum::<f64>()
+            + self.keys.values().filter(|end| **end > now).count() as f64 * PER_KEY;
+        assert!(need <= self.set.limit_kb, "fall-over: {need} kB");
+    }
+}
