--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -131,7 +131,7 @@
         self.reqs.insert(id, noted);
         let place = kinds.iter().position(|k| *k == kind).unwrap_or(0);
         let customer = Some(CustomerId(id.0 as usize % 3));
-        let (hint, retry) = (None, id.0 % 5 == 0);
+        let (hint, retry) = (None, id.0.is_multiple_of(5));
         let handler = HandlerId(place);
         let new = Arrival { id, handler, customer, hint, retry, repeats, kb: 10.0, lay, wait };
         let results = self.decider.arrival(self.now, new);
