Shrink the pool while reqs lie unread, and count the unread in pauses

Cause: in the shop's release incident two servers read reqs up to 6 s after their arrival, when nobody waited any more.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -294,14 +294,13 @@
     chance: Chance,
     said: Option<f64>,
     healthy: Option<bool>,
-    load: Sums<2>, // arrivals, retries among them
-    delay: f64,    // time that reqs lie unread
+    load: Sums<3>, // arrivals, retries among them, time that they lay unread
 }
 
 impl Advice {
     pub fn new(reading: Reading, callers: f64, longest_pause: Time, heeded: Time, seed: u64) -> Self {
-        let (load, chance) = (Ring::new(heeded.times(2.0)), Chance::new(seed));
-        Advice { reading, callers, longest_pause, chance, said: None, healthy: None, load, delay: 0.0 }
+        let (load, chance) = (Ring::new(heeded), Chance::new(seed));
+        Advice { reading, callers, longest_pause, chance, said: None, healthy: None, load }
     }
 }
 
@@ -385,7 +384,7 @@
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add(now, 0, 1.0);
         self.advice.load.add(now, 1, if new.retry { 1.0 } else { 0.0 });
-        self.advice.delay += (new.lay.num() - self.advice.delay) * WEIGHT;
+        self.advice.load.add(now, 2, new.lay.num());
         let end = arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
             out.keep.push((new.id, end - now));
@@ -522,16 +521,22 @@
         (running + self.held().map(|r| self.costs.of(r)).sum::<f64>()) / self.pool.cores
     }
 
-    /// Part of the way from calm to full, also counting what lies unread.
-    fn pressure(&self) -> f64 {
-        ((self.in_hand() + self.advice.delay) / self.span.num() - CALM) / (FULL - CALM)
+    /// How long reqs lay unread lately.
+    fn unread(&self, now: Time) -> f64 {
+        let [arrivals, _, lay] = self.advice.load.sums(now);
+        lay / arrivals.max(1.0)
+    }
+
+    /// Part of the way from calm to full.
+    fn pressure(&self, wait: f64) -> f64 {
+        (wait / self.span.num() - CALM) / (FULL - CALM)
     }
 
     /// Held reqs, first to start first. Oldest first, until the pressure shows that not all can be won:
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
         let (handlers, customers) = self.hold.gains(now);
-        let pressed = f64::from(u8::from(self.pressure() > 0.0));
+        let pressed = f64::from(u8::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0));
         let rank = |req: &Req| {
             let handler = &self.hold.handlers[req.handler()];
             let late = now.num() + self.costs.of(req) > req.target.num();
@@ -585,7 +590,9 @@
             self.advice.healthy = Some(healthy);
             out.health = Some(healthy);
         }
-        let wanted = (1.0 - self.pressure()).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
+        let wanted = (1.0 - self.pressure(self.in_hand() + self.unread(now)))
+            .clamp(LEAST_ADVICE, 1.0)
+            .min(self.pool.warmth(now));
         let wanted = if healthy { wanted } else { 0.0 };
         let level = match self.advice.reading {
             Reading::Unused => return,
@@ -631,7 +638,7 @@
         if self.keys.remove(&id).is_some() {
             out.release.push(id);
         }
-        let [arrivals, retries] = self.advice.load.sums(now);
+        let [arrivals, retries, _] = self.advice.load.sums(now);
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Not all at once: callers told at the same time come back over a spread.
@@ -755,10 +762,13 @@
         self.order(now).iter().find(lost).map(|r| r.new.id)
     }
 
-    /// The pool: as many on the cores as keep them busy, within crowd and memory.
+    /// The pool: as many on the cores as keep them busy, within crowd and memory. Departure: while reqs lie
+    /// unread the pool shrinks, so that the cores read first; unread reqs can be told nothing, and their
+    /// callers send on. It holds against any rush, slow spell or cold start that outruns the reading.
     fn next_to_start(&self, now: Time) -> Option<ReqId> {
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
-        let open = on_core + 1.0 <= self.pool.size && running + 1.0 <= self.pool.ceiling(now);
+        let size = self.pool.size * (1.0 - self.pressure(self.unread(now))).clamp(0.0, 1.0);
+        let open = on_core + 1.0 <= size.max(1.0) && running + 1.0 <= self.pool.ceiling(now);
         let room = self.memory.limit - self.memory_used();
         let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
