Count reading as use of the cores in the intake check

Cause: with the pool shrunk for unread reqs, few runs were on the cores, so the intake check held the cores for idle and took everything. It now looks at the busy gauge too, and spreads the work in hand over the cores that the shrunk pool leaves. Holds against anything that keeps cores from runs; may shed early when the gauge lags.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -104,6 +104,7 @@
     warm: Time, // when it is warm at the latest
     born: Time,
     size: f64,
+    busy: f64, // part of the cores in use
 }
 
 impl Pool {
@@ -111,7 +112,7 @@
     /// warm after `warm`.
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
-        Pool { cores, factor, first, warm, born: now, size: cores * 1.25 }
+        Pool { cores, factor, first, warm, born: now, size: cores * 1.25, busy: 0.0 }
     }
 
     /// The part of its full speed that a cold server has surely reached.
@@ -126,10 +127,10 @@
 
     /// More reqs on the cores than keep them busy only slow each other: the pool is the smallest that does.
     fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize) {
-        let busy = busy.unwrap_or(on_core as f64 / self.cores);
-        if waiting && busy < 0.93 && on_core as f64 >= self.size - 1.0 {
+        self.busy = busy.unwrap_or(on_core as f64 / self.cores);
+        if waiting && self.busy < 0.93 && on_core as f64 >= self.size - 1.0 {
             self.size = (self.size + 0.25).min(self.ceiling(now));
-        } else if busy > 0.97 {
+        } else if self.busy > 0.97 {
             self.size = (self.size - 0.1).max(self.cores);
         }
     }
@@ -532,6 +533,13 @@
         (wait / self.span.num() - CALM) / (FULL - CALM)
     }
 
+    /// Departure: while reqs lie unread the pool shrinks, so that the cores read first; unread reqs can be
+    /// told nothing, and their callers send on. It holds against any rush, slow spell or cold start that
+    /// outruns the reading.
+    fn open_size(&self, now: Time) -> f64 {
+        (self.pool.size * (1.0 - self.pressure(self.unread(now))).clamp(0.0, 1.0)).max(1.0)
+    }
+
     /// Held reqs, first to start first. Oldest first, until the pressure shows that not all can be won:
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
@@ -747,14 +755,15 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        if (self.on_core() as f64) < FREE_BUSY * self.pool.cores {
+        if self.pool.busy.max(self.on_core() as f64 / self.pool.cores) < FREE_BUSY {
             return None;
         }
+        let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
         let lost = |r: &&&Req| {
             let own = self.costs.of(r);
-            let finish = now.num() + ahead / self.pool.cores + own + self.costs.away[r.handler()];
+            let finish = now.num() + ahead / cores + own + self.costs.away[r.handler()];
             let part = if r.since == now { MARGIN } else { 1.0 };
             ahead += own;
             finish > (r.arrived + (r.target - r.arrived).times(part)).min(self.due_at(r)).num()
@@ -762,13 +771,10 @@
         self.order(now).iter().find(lost).map(|r| r.new.id)
     }
 
-    /// The pool: as many on the cores as keep them busy, within crowd and memory. Departure: while reqs lie
-    /// unread the pool shrinks, so that the cores read first; unread reqs can be told nothing, and their
-    /// callers send on. It holds against any rush, slow spell or cold start that outruns the reading.
+    /// The pool: as many on the cores as keep them busy, within crowd and memory.
     fn next_to_start(&self, now: Time) -> Option<ReqId> {
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
-        let size = self.pool.size * (1.0 - self.pressure(self.unread(now))).clamp(0.0, 1.0);
-        let open = on_core + 1.0 <= size.max(1.0) && running + 1.0 <= self.pool.ceiling(now);
+        let open = on_core + 1.0 <= self.open_size(now) && running + 1.0 <= self.pool.ceiling(now);
         let room = self.memory.limit - self.memory_used();
         let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
