Name a pause only past the wait of a full server

Cause: a pause of up to a second by each of a few callers takes a large part of all traffic away at once; servers swung between idle and swamped. The advised share steers below that.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -528,6 +528,11 @@
         lay / arrivals.max(1.0)
     }
 
+    /// What a req that came now would wait for.
+    fn wait(&self, now: Time) -> f64 {
+        self.in_hand() + self.unread(now)
+    }
+
     /// Part of the way from calm to full.
     fn pressure(&self, wait: f64) -> f64 {
         (wait / self.span.num() - CALM) / (FULL - CALM)
@@ -544,7 +549,7 @@
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
         let (handlers, customers) = self.hold.gains(now);
-        let pressed = f64::from(u8::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0));
+        let pressed = f64::from(u8::from(self.pressure(self.wait(now)) > 0.0));
         let rank = |req: &Req| {
             let handler = &self.hold.handlers[req.handler()];
             let late = now.num() + self.costs.of(req) > req.target.num();
@@ -598,9 +603,8 @@
             self.advice.healthy = Some(healthy);
             out.health = Some(healthy);
         }
-        let wanted = (1.0 - self.pressure(self.in_hand() + self.unread(now)))
-            .clamp(LEAST_ADVICE, 1.0)
-            .min(self.pool.warmth(now));
+        let wanted =
+            (1.0 - self.pressure(self.wait(now))).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
         let wanted = if healthy { wanted } else { 0.0 };
         let level = match self.advice.reading {
             Reading::Unused => return,
@@ -651,7 +655,7 @@
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Not all at once: callers told at the same time come back over a spread.
         let wait =
-            (self.in_hand() - CALM * self.span.num()).max(0.0) * (0.75 + 0.5 * self.advice.chance.draw());
+            (self.wait(now) - FULL * self.span.num()).max(0.0) * (0.75 + 0.5 * self.advice.chance.draw());
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
