--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -603,8 +603,9 @@
             self.advice.healthy = Some(healthy);
             out.health = Some(healthy);
         }
-        let wanted =
-            (1.0 - self.pressure(self.unread(now) * 2.0)).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
+        let wanted = (1.0 - self.pressure(self.in_hand() * 0.5 + self.unread(now) * 2.0))
+            .clamp(LEAST_ADVICE, 1.0)
+            .min(self.pool.warmth(now));
         let wanted = if healthy { wanted } else { 0.0 };
         let level = match self.advice.reading {
             Reading::Unused => return,
