--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -32,7 +32,7 @@
 const TRY_PAUSE: f64 = 0.25; // between them, part of a call's usual time
 const STOP_PART: f64 = 0.95; // of the time left after the notice to leave, by which all is answered
 const ADVICE_STEP: f64 = 0.02; // least relative change of the advice that is said
-const DEAR: f64 = 0.2; // part of a req's cost from which reading counts as dear
+const DEAR: f64 = 0.25; // part of the cores from which reading counts as dear
 const LAST_SHARE: f64 = 0.2; // share of retries among arrivals from which a shed asks for no further try
 
 type Sums<const K: usize> = Ring<K, SLOTS>;
@@ -298,23 +298,12 @@
     healthy: Option<bool>,
     load: Sums<3>, // arrivals, retries among them, time that they lay unread
     least: f64,    // time that reading takes by itself
-    dear: f64,     // the same, part of a req's cost
 }
 
 impl Advice {
     pub fn new(reading: Reading, callers: f64, longest_pause: Time, heeded: Time, seed: u64) -> Self {
         let (load, chance) = (Ring::new(heeded), Chance::new(seed));
-        Advice {
-            reading,
-            callers,
-            longest_pause,
-            chance,
-            said: None,
-            healthy: None,
-            load,
-            least: f64::MAX,
-            dear: 0.0,
-        }
+        Advice { reading, callers, longest_pause, chance, said: None, healthy: None, load, least: f64::MAX }
     }
 }
 
@@ -400,7 +389,6 @@
         self.advice.load.add(now, 1, if new.retry { 1.0 } else { 0.0 });
         self.advice.load.add(now, 2, new.lay.num());
         self.advice.least = (self.advice.least * (1.0 + WEIGHT / 50.0)).min(new.lay.num());
-        self.advice.dear += (self.advice.least / self.costs.usual(&req).max(1.0) - self.advice.dear) * WEIGHT;
         let end = arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
             out.keep.push((new.id, end - now));
@@ -544,8 +532,9 @@
     }
 
     /// How far reading is dear: callers turn away blindly, so they are asked to only for what it saves.
-    fn dear(&self) -> f64 {
-        (self.advice.dear / DEAR).min(1.0)
+    fn dear(&self, now: Time) -> f64 {
+        let reading = self.advice.load.sums(now)[0] * self.advice.least / self.advice.load.span();
+        (reading / (DEAR * self.pool.cores)).min(1.0)
     }
 
     /// What a req that came now would wait for.
@@ -623,7 +612,7 @@
             self.advice.healthy = Some(healthy);
             out.health = Some(healthy);
         }
-        let wanted = (1.0 - self.pressure(self.in_hand() * 0.5 * self.dear() + self.unread(now) * 2.0))
+        let wanted = (1.0 - self.pressure(self.in_hand() * 0.5 * self.dear(now) + self.unread(now) * 2.0))
             .clamp(LEAST_ADVICE, 1.0)
             .min(self.pool.warmth(now));
         let wanted = if healthy { wanted } else { 0.0 };
@@ -675,7 +664,7 @@
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Not all at once: callers told at the same time come back over a spread.
-        let wait = (self.in_hand() * self.dear() + self.unread(now) - FULL * self.span.num()).max(0.0)
+        let wait = (self.in_hand() * self.dear(now) + self.unread(now) - FULL * self.span.num()).max(0.0)
             * (0.75 + 0.5 * self.advice.chance.draw());
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
