--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -51,15 +51,19 @@
     u32::try_from(number).map_err(|_| format!("{key} is past 32 bits"))
 }
 
-pub fn arrival(event: &Value) -> Result<Arrival, Wrong> {
+pub fn arrival(event: &Value, handlers: usize) -> Result<Arrival, Wrong> {
     let flags = present(event, "flags").and_then(Value::as_u64).unwrap_or(0);
     let hint = maybe_number(event, "cost_ms")?.filter(|ms| flags & 1 != 0 && *ms > 0.0);
     let repeats = present(event, "same_as").map(|_| whole(event, "same_as")).transpose()?.filter(|n| *n != 0);
+    let handler = whole(event, "category")? as usize;
+    if handler >= handlers {
+        return Err(format!("category {handler} is past the list of classes"));
+    }
     // Lying time is rounded up and the wait down, so that both ends of a due time come early.
     let lay = maybe_number(event, "lay_ms")?.unwrap_or(0.0);
     Ok(Arrival {
         id: req(event)?,
-        handler: HandlerId(whole(event, "category")? as usize),
+        handler: HandlerId(handler),
         customer: present(event, "client_group").and_then(Value::as_u64).map(|n| CustomerId(n as usize)),
         hint: hint.map(tenths),
         retry: flags & 2 != 0,
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -37,7 +37,7 @@
             let (decider, places) =
                 running.ok_or_else(|| format!("{word} for {who}, which is not running"))?;
             match word {
-                "Incoming" => decider.arrival(now, decode::arrival(event)?),
+                "Incoming" => decider.arrival(now, decode::arrival(event, places.handlers)?),
                 "Ended" => decider.run_ended(now, decode::req(event)?, decode::run_end(event)?),
                 "NeedsDep" => decider.call_wanted(now, decode::req(event)?),
                 "CallResult" => decider.call_ended(now, decode::req(event)?, decode::call_end(event)?),
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -13,8 +13,10 @@
     of.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
-/// Where the gauges that the decider reads stand in each row.
+/// What decoding needs of the settings: how many handlers there are, and where the gauges that the decider
+/// reads stand in each row.
 pub struct Places {
+    pub handlers: usize,
     pub busy: Option<usize>,
     pub runnable: Option<usize>,
     pub memory: Option<usize>,
@@ -23,7 +25,8 @@
 pub fn places(conf: &Value) -> Places {
     let names = conf.get("family_info").map_or(&[][..], |info| list(info, "own_stats"));
     let place = |name: &str| names.iter().position(|n| n.as_str() == Some(name));
-    Places { busy: place("cpu_busy"), runnable: place("runnable"), memory: place("mem_used") }
+    let handlers = list(conf, "classes").len();
+    Places { handlers, busy: place("cpu_busy"), runnable: place("runnable"), memory: place("mem_used") }
 }
 
 fn handler(place: usize, class: &Value, info: &Value) -> Result<Handler, Wrong> {
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -12,6 +12,7 @@
 const HIGH_WATER: f64 = 0.15; // loss from which it is at its lower bound
 const ALPHA: f64 = 4.0; // bend of the threshold between the two
 const FLOOR_QUANTILE: f64 = 0.98; // of a handler's run times: the threshold's lower bound
+const RUNS_SPAN: f64 = 4.0; // time over which run times count, times the client timeout
 const FLOOR_PART: f64 = 0.1; // least lower bound, part of the upper one
 const TICK_PART: f64 = 0.06; // time between looks at the gauges, part of the shortest response target
 const FREE_BUSY: f64 = 0.8; // part of the cores in use under which every req is taken
@@ -72,28 +73,28 @@
 
     /// The worst-served counts for the goal by itself: a unit of its value weighs as much more as its part
     /// of all is small.
-    fn scarcity(now: Time, weight: f64, rings: &[Sums<3>]) -> Vec<(f64, f64)> {
+    fn scarcity(now: Time, weight: f64, rings: &[Sums<3>]) -> Vec<f64> {
         let sums: Vec<[f64; 3]> = rings.iter().map(|r| r.sums(now)).collect();
         let all: f64 = sums.iter().map(|s| s[0]).sum();
         let served = |s: &[f64; 3]| if s[0] > 0.0 { s[1] / s[0] } else { 1.0 };
         let worst = sums.iter().map(served).fold(1.0, f64::min);
         let extra = |s: &[f64; 3]| if s[0] > 0.0 && served(s) <= worst { weight * all / s[0] } else { 0.0 };
-        sums.iter().map(|s| (extra(s), s[2])).collect()
+        sums.iter().map(extra).collect()
     }
 
-    /// The gain to the goal from a unit of each handler's and each customer's value.
+    /// The part of a customer's reqs within its share, as seen here: none of them says whether it is in excess.
+    fn within(&self, now: Time, customer: usize) -> f64 {
+        (self.quotas[customer] / self.by_customer[customer].sums(now)[2].max(1.0)).min(1.0)
+    }
+
+    /// The gain to the goal from a unit of each handler's and each customer's value; a customer's excess over
+    /// its share is worth little.
     fn gains(&self, now: Time) -> (Vec<f64>, Vec<f64>) {
         let [whole, handler, customer] = self.weights;
-        let handlers = Self::scarcity(now, handler, &self.by_handler);
-        let handlers = handlers.iter().map(|(extra, _)| whole + extra).collect();
-        let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().zip(&self.quotas);
-        // A customer's excess over its share, as seen here, is worth little: none of its reqs says which
-        // is the excess, so each of them carries its part.
-        let customers = customers.map(|((extra, count), quota)| {
-            let within = (quota / count.max(1.0)).min(1.0);
-            (within + (1.0 - within) * self.over_share) * (1.0 + extra / whole.max(0.1))
-        });
-        (handlers, customers.collect())
+        let handlers = Self::scarcity(now, handler, &self.by_handler).iter().map(|e| whole + e).collect();
+        let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().enumerate();
+        let share = |c| self.within(now, c) + (1.0 - self.within(now, c)) * self.over_share;
+        (handlers, customers.map(|(c, extra)| share(c) * (1.0 + extra / whole.max(0.1))).collect())
     }
 }
 
@@ -140,13 +141,14 @@
 /// SERT's threshold between a learned floor and the client timeout.
 pub struct Threshold {
     halting: Halting,
-    loss: Sums<3>, // arrived, refused, terminated
-    runs: Vec<Sums<BINS>>,
+    loss: Sums<3>,                 // arrived, refused, terminated
+    runs: Vec<(Time, Sums<BINS>)>, // client timeout, run times as parts of it
 }
 
 impl Threshold {
     pub fn new(interval: Time, halting: Halting, handlers: &[Handler]) -> Self {
-        let runs = handlers.iter().map(|h| Ring::new(h.client_timeout.times(4.0))).collect();
+        let ring = |h: &Handler| (h.client_timeout, Ring::new(h.client_timeout.times(RUNS_SPAN)));
+        let runs = handlers.iter().map(ring).collect();
         Threshold { halting, loss: Ring::new(interval), runs }
     }
 
@@ -155,13 +157,15 @@
         (refused + stopped) * if arrived > 0.0 { 1.0 / arrived } else { 0.0 }
     }
 
-    fn count_run(&mut self, now: Time, handler: usize, upper: Time, time: Time) {
+    fn count_run(&mut self, now: Time, handler: usize, time: Time) {
+        let (upper, runs) = &mut self.runs[handler];
         let bin = (time.num() / upper.num() * BINS as f64) as usize;
-        self.runs[handler].add(now, bin.min(BINS - 1), 1.0);
+        runs.add(now, bin.min(BINS - 1), 1.0);
     }
 
-    fn floor(&self, now: Time, handler: usize, upper: Time) -> Time {
-        let bins = self.runs[handler].sums(now);
+    fn floor(&self, now: Time, handler: usize) -> Time {
+        let (upper, runs) = &self.runs[handler];
+        let bins = runs.sums(now);
         let (all, mut below) = (bins.iter().sum::<f64>(), 0.0);
         let reached = |count: &f64| {
             below += count;
@@ -295,7 +299,6 @@
     longest_pause: Time,
     chance: Chance,
     said: Option<f64>,
-    healthy: Option<bool>,
     load: Sums<3>, // arrivals, retries among them, time that they lay unread
     least: f64,    // time that reading takes by itself
 }
@@ -303,7 +306,7 @@
 impl Advice {
     pub fn new(reading: Reading, callers: f64, longest_pause: Time, heeded: Time, seed: u64) -> Self {
         let (load, chance) = (Ring::new(heeded), Chance::new(seed));
-        Advice { reading, callers, longest_pause, chance, said: None, healthy: None, load, least: f64::MAX }
+        Advice { reading, callers, longest_pause, chance, said: None, load, least: f64::MAX }
     }
 }
 
@@ -312,7 +315,6 @@
     span: Time, // the shortest response target
     next_look: Time,
     woken: Option<Time>,
-    pub passes: usize, // rules fired after the last input
     reqs: BTreeMap<ReqId, Req>,
     hold: Hold,
     pool: Pool,
@@ -351,14 +353,13 @@
         calls: Calls, drain: Drain, advice: Advice,
     ) -> Self {
         let span = hold.handlers.iter().map(|h| h.response_target).min().unwrap_or(Time(1));
-        let (next_look, woken, passes) = (Time(i64::MIN), None, 0);
+        let (next_look, woken) = (Time(i64::MIN), None);
         let (reqs, keys) = (BTreeMap::new(), BTreeMap::new());
         Decider {
             resolution,
             span,
             next_look,
             woken,
-            passes,
             reqs,
             hold,
             pool,
@@ -374,10 +375,7 @@
 
     pub fn arrival(&mut self, now: Time, new: Arrival) -> Results {
         let mut out = self.pass(now);
-        let Some(handler) = self.hold.handlers.get(new.handler.0).copied() else {
-            out.shed.push(Shed { id: new.id, pause: Time(0), last: true });
-            return out;
-        };
+        let Some(handler) = self.hold.handlers.get(new.handler.0).copied() else { return out };
         let arrived = now - new.lay;
         let base = new.hint.map_or(handler.response_target.num() * FIRST_COST, |h| h.num().max(1.0));
         let target = handler.response_target + Time((handler.target_stretch * base) as i64);
@@ -405,7 +403,8 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             if req.live(Phase::OnCore) && matches!(end, RunEnd::Done | RunEnd::Errored) {
-                self.learn_run(now, &req, true);
+                self.costs.learn(&req, true);
+                self.limits.count_run(now, req.handler(), now - req.started);
             }
             if end == RunEnd::Done && !req.answered {
                 let late = self.hold.handlers[req.handler()].late_value;
@@ -451,21 +450,15 @@
     }
 
     pub fn caller_gone(&mut self, now: Time, id: ReqId) -> Results {
-        let mut out = self.pass(now);
-        if self.reqs.get(&id).is_some_and(|r| matches!(r.phase, Phase::Held | Phase::Joined)) {
-            self.reqs.remove(&id);
-        }
-        if let Some(req) = self.reqs.get_mut(&id) {
-            req.answered = true;
-            if req.phase == Phase::OnCore && self.stoppable(id) {
-                out.stop.push(id);
-            }
-        }
+        let out = self.pass(now);
+        self.reqs.entry(id).and_modify(|r| r.answered = true);
+        self.reqs.retain(|_, r| !r.answered || !matches!(r.phase, Phase::Held | Phase::Joined));
         self.settle(now, out)
     }
 
     pub fn leaving(&mut self, now: Time, left: Time) -> Results {
-        let out = self.pass(now);
+        let mut out = self.pass(now);
+        out.health = Some(false);
         self.drain.left = Some((now, now + left.times(STOP_PART) - self.resolution));
         self.settle(now, out)
     }
@@ -473,6 +466,7 @@
     pub fn wake(&mut self, now: Time, gauges: Gauges) -> Results {
         let mut out = self.pass(now);
         self.woken = self.woken.filter(|at| *at > now);
+        out.health = (self.next_look == Time(i64::MIN)).then_some(true);
         if now >= self.next_look {
             self.next_look = now + self.span.times(TICK_PART).max(self.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
@@ -537,11 +531,6 @@
         (reading / (DEAR * self.pool.cores)).min(1.0)
     }
 
-    /// What a req that came now would wait for.
-    fn wait(&self, now: Time) -> f64 {
-        self.in_hand() + self.unread(now)
-    }
-
     /// Part of the way from calm to full.
     fn pressure(&self, wait: f64) -> f64 {
         (wait / self.span.num() - CALM) / (FULL - CALM)
@@ -558,7 +547,7 @@
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
         let (handlers, customers) = self.hold.gains(now);
-        let pressed = f64::from(u8::from(self.pressure(self.wait(now)) > 0.0));
+        let pressed = f64::from(u8::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0));
         let rank = |req: &Req| {
             let handler = &self.hold.handlers[req.handler()];
             let late = now.num() + self.costs.of(req) > req.target.num();
@@ -590,11 +579,10 @@
     }
 
     fn settle(&mut self, now: Time, mut out: Results) -> Results {
-        self.passes = 0;
         let fires = |it: &Self| RULES.iter().find_map(|(found, effect)| Some((found(it, now)?, effect)));
         while let Some((id, effect)) = fires(self) {
             effect(self, now, id, &mut out);
-            self.passes += 1;
+            out.passes += 1;
         }
         self.advise(now, &mut out);
         let due = self.reqs.values().filter(|r| !r.answered).map(|r| self.due_at(r) - self.resolution).min();
@@ -607,15 +595,9 @@
     }
 
     fn advise(&mut self, now: Time, out: &mut Results) {
-        let healthy = self.drain.left.is_none();
-        if self.advice.healthy != Some(healthy) {
-            self.advice.healthy = Some(healthy);
-            out.health = Some(healthy);
-        }
-        let wanted = (1.0 - self.pressure(self.in_hand() * 0.5 * self.dear(now) + self.unread(now) * 2.0))
-            .clamp(LEAST_ADVICE, 1.0)
-            .min(self.pool.warmth(now));
-        let wanted = if healthy { wanted } else { 0.0 };
+        let pressure = self.pressure(self.in_hand() * 0.5 * self.dear(now) + self.unread(now) * 2.0);
+        let wanted = (1.0 - pressure).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
+        let wanted = if self.drain.left.is_some() { 0.0 } else { wanted };
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
@@ -628,12 +610,6 @@
         }
     }
 
-    fn learn_run(&mut self, now: Time, req: &Req, ended: bool) {
-        self.costs.learn(req, ended);
-        let upper = self.hold.handlers[req.handler()].client_timeout;
-        self.limits.count_run(now, req.handler(), upper, now - req.started);
-    }
-
     // The effects.
 
     fn give_up(&mut self, now: Time, id: ReqId, out: &mut Results) {
@@ -643,15 +619,14 @@
         let req = req.clone();
         if req.phase == Phase::OnCore && self.stoppable(id) {
             out.stop.push(id);
-            self.learn_run(now, &req, false);
+            self.costs.learn(&req, false);
+            self.limits.count_run(now, req.handler(), now - req.started);
         }
         // A stalled or cold server must not take its own terminations for load.
         if self.costs.strain < STRAINED && self.pool.warmth(now) >= 1.0 {
             self.limits.loss.add(now, 2, 1.0);
         }
-        if matches!(req.phase, Phase::Held | Phase::Joined) {
-            self.reqs.remove(&id);
-        }
+        self.reqs.retain(|_, r| !r.answered || !matches!(r.phase, Phase::Held | Phase::Joined));
     }
 
     fn turn_away(&mut self, now: Time, id: ReqId, out: &mut Results) {
@@ -724,7 +699,7 @@
         let waiting = self.held().next().is_some();
         let overdue = |r: &&Req| {
             let handler = &self.hold.handlers[r.handler()];
-            let floor = self.limits.floor(now, r.handler(), handler.client_timeout);
+            let floor = self.limits.floor(now, r.handler());
             let upper = self.due_at(r) - r.started;
             // Departure: with others waiting and loss above the low mark, a run that wins nothing more ends.
             let worthless = handler.late_value == 0.0 && now > r.target && waiting && loss > LOW_WATER;
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -167,6 +167,8 @@
     pub health: Option<bool>,
     pub advice: Option<f64>,
     pub wake: Option<Time>,
+    /// Rules fired.
+    pub passes: usize,
 }
 
 /// Where a req is between its arrival and its end.
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -214,7 +214,7 @@
     }
 
     fn apply(&mut self, results: Results) {
-        self.most_passes = self.most_passes.max(self.decider.passes);
+        self.most_passes = self.most_passes.max(results.passes);
         let mut ended = Vec::new();
         for id in results.stop {
             let noted = self.reqs.get_mut(&id).unwrap();
