--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -82,18 +82,14 @@
         sums.iter().map(extra).collect()
     }
 
-    /// The part of a customer's reqs within its share, as seen here: none of them says whether it is in excess.
-    fn within(&self, now: Time, customer: usize) -> f64 {
-        (self.quotas[customer] / self.by_customer[customer].sums(now)[2].max(1.0)).min(1.0)
-    }
-
-    /// The gain to the goal from a unit of each handler's and each customer's value; a customer's excess over
-    /// its share is worth little.
+    /// The gain to the goal from a unit of each handler's and each customer's value. No req says whether it
+    /// is in its customer's excess, which is worth little: each carries its part.
     fn gains(&self, now: Time) -> (Vec<f64>, Vec<f64>) {
         let [whole, handler, customer] = self.weights;
         let handlers = Self::scarcity(now, handler, &self.by_handler).iter().map(|e| whole + e).collect();
         let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().enumerate();
-        let share = |c| self.within(now, c) + (1.0 - self.within(now, c)) * self.over_share;
+        let within = |c: usize| (self.quotas[c] / self.by_customer[c].sums(now)[2].max(1.0)).min(1.0);
+        let share = |c: usize| within(c) + (1.0 - within(c)) * self.over_share;
         (handlers, customers.map(|(c, extra)| share(c) * (1.0 + extra / whole.max(0.1))).collect())
     }
 }
@@ -274,8 +270,7 @@
     fn ended(&mut self, time: Time, well: bool) {
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
         if well {
-            let first = self.usual == 0.0;
-            self.usual += (time.num() - self.usual) * if first { 1.0 } else { WEIGHT / 2.0 };
+            self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT / 2.0 } else { 1.0 };
         }
         self.limit = if well && !slow { self.limit + 1.0 } else { self.limit * 0.7 }.clamp(1.0, self.most);
     }
@@ -376,18 +371,15 @@
     pub fn arrival(&mut self, now: Time, new: Arrival) -> Results {
         let mut out = self.pass(now);
         let Some(handler) = self.hold.handlers.get(new.handler.0).copied() else { return out };
-        let arrived = now - new.lay;
         let base = new.hint.map_or(handler.response_target.num() * FIRST_COST, |h| h.num().max(1.0));
-        let target = handler.response_target + Time((handler.target_stretch * base) as i64);
-        let due = new.wait.map_or(arrived + handler.client_timeout, |w| now + w).max(now);
-        let req = Req::new(new, now, base, arrived + target.min(handler.client_timeout), due);
+        let req = Req::new(new, now, base, &handler);
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add(now, 0, 1.0);
         self.advice.load.add(now, 1, if new.retry { 1.0 } else { 0.0 });
         self.advice.load.add(now, 2, new.lay.num());
         self.advice.least = (self.advice.least * (1.0 + WEIGHT / 50.0)).min(new.lay.num());
-        let end = arrived + handler.window;
+        let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
             out.keep.push((new.id, end - now));
             self.keys.insert(new.id, end);
@@ -696,14 +688,9 @@
     /// SERT: a replayable run past the threshold is stopped for good.
     fn overdue(&self, now: Time) -> Option<ReqId> {
         let loss = self.limits.loss(now);
-        let waiting = self.held().next().is_some();
         let overdue = |r: &&Req| {
-            let handler = &self.hold.handlers[r.handler()];
-            let floor = self.limits.floor(now, r.handler());
             let upper = self.due_at(r) - r.started;
-            // Departure: with others waiting and loss above the low mark, a run that wins nothing more ends.
-            let worthless = handler.late_value == 0.0 && now > r.target && waiting && loss > LOW_WATER;
-            now - r.started > threshold(floor.min(upper), upper, loss) || worthless
+            now - r.started > threshold(self.limits.floor(now, r.handler()).min(upper), upper, loss)
         };
         let live = self.running().filter(|r| !r.answered && r.phase != Phase::Calling);
         live.filter(|r| self.stoppable(r.new.id)).find(overdue).map(|r| r.new.id)
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -209,13 +209,15 @@
 }
 
 impl Req {
-    pub fn new(new: Arrival, now: Time, base: f64, target: Time, due: Time) -> Self {
+    pub fn new(new: Arrival, now: Time, base: f64, handler: &Handler) -> Self {
+        let arrived = now - new.lay;
+        let target = handler.response_target + Time((handler.target_stretch * base) as i64);
         Req {
             new,
             base,
-            arrived: now - new.lay,
-            target,
-            due,
+            arrived,
+            target: arrived + target.min(handler.client_timeout),
+            due: new.wait.map_or(arrived + handler.client_timeout, |wait| now + wait).max(now),
             phase: Phase::Held,
             answered: false,
             started: now,
