--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -632,7 +632,7 @@
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Not all at once: callers told at the same time come back over a spread.
         let wait = (self.in_hand() * self.dear(now) + self.unread(now) - FULL * self.span.num()).max(0.0)
-            * (0.75 + 0.5 * self.advice.chance.draw());
+            * (0.4 + 0.2 * self.advice.chance.draw());
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
