Give up early on calls that may be made again, and back off softly

Cause: in returns' cut-off incident a third of the calls went to machines that never answered; each took the whole time left to its response target, and each failure cut the calls in hand by 0.3, down to one at a time, while the machines that could be reached idled at 0.2 busy.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -26,6 +26,8 @@
 const FIRST_COST: f64 = 0.125; // cost of a req before any is known, part of its response target
 const WEIGHT: f64 = 0.1; // of the newest in running means
 const SLOW: f64 = 4.0; // multiple of its usual time at which a call counts as slow
+const PATIENCE: f64 = 6.0; // multiple of its usual time after which a call that may be made again is given up
+const BACK_OFF: f64 = 0.85; // of the calls in hand that stay after one failed or was slow
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
 const MOST_STRAIN: f64 = 10.0; // most that the strain counts for
@@ -269,10 +271,9 @@
     /// Backs off when calls fail or are slow, opens again as they end well; one at a time is the probe.
     fn ended(&mut self, time: Time, well: bool) {
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
-        if well {
-            self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT / 2.0 } else { 1.0 };
-        }
-        self.limit = if well && !slow { self.limit + 1.0 } else { self.limit * 0.7 }.clamp(1.0, self.most);
+        self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT / 2.0 } else { 1.0 };
+        self.limit =
+            if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF }.clamp(1.0, self.most);
     }
 }
 
@@ -658,15 +659,21 @@
         }
     }
 
+    /// A call that may be made again is given up early: the next one may reach another machine. It holds against
+    /// machines below that hang, are cut off or slow; where all below are slow, their usual time grows with them.
     fn call(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let due = self.reqs.get(&id).map_or(now, |r| self.due_at(r));
         if let Some(req) = self.reqs.get_mut(&id) {
-            let end = if now < req.target { req.target.min(due) } else { due };
+            let handler = &self.hold.handlers[req.handler()];
+            let left = if now < req.target { req.target.min(due) - now } else { due - now };
             // Where the call can be skipped, time is left to go on without it.
-            let part = if self.hold.handlers[req.handler()].skip_value > 0.0 { 0.5 } else { 1.0 };
+            let left = left.times(if handler.skip_value > 0.0 { 0.5 } else { 1.0 });
+            let again =
+                handler.kind == Kind::Replayable && req.tries + 1 < MOST_TRIES && self.calls.usual > 0.0;
+            let cap = if again { left.min(Time((self.calls.usual * PATIENCE) as i64)) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
-            out.call.push((id, (end - now).times(part).max(self.resolution)));
+            out.call.push((id, cap.max(self.resolution)));
         }
     }
 
