Back off calls to a tier to one a core at the least

Cause: below one a core the fronts of returns' cut-off incident made four calls a second while the machines that could be reached idled. A shared dependency is still probed with one call at a time.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -248,6 +248,7 @@
     held: Sums<1>, // calls in hand x time
     lingering: Vec<Time>,
     limit: f64,
+    least: f64,
     most: f64,
     usual: f64, // usual time of a call
 }
@@ -256,16 +257,18 @@
     /// `share`: the mean number in hand over `window` that is ours, where told; `linger`: how long an
     /// abandoned call stays.
     pub fn new(share: Option<f64>, window: Time, linger: Time, cores: usize) -> Self {
+        // One that all share is probed with a call at a time; machines of a tier fail one by one.
+        let least = if share.is_some() { 1.0 } else { cores.max(1) as f64 };
         let most = cores.max(1) as f64 * 4.0;
         let (held, lingering) = (Ring::new(window), Vec::new());
-        Calls { share, linger, held, lingering, limit: most, most, usual: 0.0 }
+        Calls { share, linger, held, lingering, limit: most, least, most, usual: 0.0 }
     }
 
     fn open(&self, now: Time, in_hand: usize) -> bool {
         let held = (in_hand + self.lingering.len()) as f64;
         let mean = self.held.sums(now)[0] / self.held.span();
         let within = |s: f64| held + 1.0 <= s * CALLS_PART || mean < s * CALLS_PART && held + 1.0 <= 2.0 * s;
-        (in_hand as f64) + 1.0 <= self.limit.max(1.0) && self.share.is_none_or(within)
+        (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
     }
 
     /// Backs off when calls fail or are slow, opens again as they end well; one at a time is the probe.
@@ -273,7 +276,7 @@
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT / 2.0 } else { 1.0 };
         self.limit =
-            if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF }.clamp(1.0, self.most);
+            if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF }.clamp(self.least, self.most);
     }
 }
 
