--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -7,7 +7,6 @@
 
 const SLOTS: usize = 8; // buckets of a ring
 const BINS: usize = 20; // bins of run times, as parts of the client timeout
-const SECOND: f64 = 10_000.0; // in times
 const LOW_WATER: f64 = 0.05; // loss up to which the threshold stays at its upper bound
 const HIGH_WATER: f64 = 0.15; // loss from which it is at its lower bound
 const ALPHA: f64 = 4.0; // bend of the threshold between the two
@@ -35,7 +34,6 @@
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
-const MOST_STRAIN: f64 = 10.0; // most that the strain counts for
 const MOST_TRIES: u32 = 3; // calls made for one need
 const TRY_PAUSE: f64 = 0.25; // between them, part of a call's usual time
 const STOP_PART: f64 = 0.95; // of the time left after the notice to leave, by which all is answered
@@ -67,7 +65,7 @@
         let span = handlers.iter().map(|h| h.client_timeout).max().unwrap_or(Time(1)).times(SHARE_SPAN);
         let rings = |count: usize| vec![Ring::new(span); count];
         let (by_handler, by_customer) = (rings(handlers.len()), rings(quotas.len()));
-        let quotas = quotas.iter().map(|q| q / fleet.max(1.0) * span.num() / SECOND).collect();
+        let quotas = quotas.iter().map(|q| q / fleet.max(1.0) * span.num() / SECOND.num()).collect();
         let shortest = handlers.iter().map(|h| h.response_target).min().unwrap_or(Time(1));
         let handlers = handlers.to_vec();
         Hold { handlers, quotas, shortest, over_share, by_work, weights, by_handler, by_customer }
@@ -137,11 +135,9 @@
     /// More reqs on the cores than keep them busy only slow each other: the pool is the smallest that does.
     fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize) {
         self.busy = busy.unwrap_or(on_core as f64 / self.cores);
-        if waiting && self.busy < FULL_USE && on_core as f64 >= self.size - 1.0 {
-            self.size = (self.size + POOL_STEP).min(self.ceiling(now));
-        } else if self.busy > FULL_USE {
-            self.size = (self.size - POOL_STEP).max(self.cores);
-        }
+        let grow = if waiting && on_core as f64 >= self.size - 1.0 { POOL_STEP } else { 0.0 };
+        let step = if self.busy > FULL_USE { -POOL_STEP } else { grow };
+        self.size = (self.size + step).min(self.ceiling(now)).max(self.cores);
     }
 }
 
@@ -159,11 +155,6 @@
         Threshold { halting, loss: Ring::new(interval), runs }
     }
 
-    fn loss(&self, now: Time) -> f64 {
-        let [arrived, refused, stopped] = self.loss.sums(now);
-        (refused + stopped) * if arrived > 0.0 { 1.0 / arrived } else { 0.0 }
-    }
-
     fn count_run(&mut self, now: Time, handler: usize, time: Time) {
         let (upper, runs) = &mut self.runs[handler];
         let bin = (time.num() / upper.num() * BINS as f64) as usize;
@@ -409,8 +400,7 @@
         let mut out = self.pass(now);
         if let Some(req) = self.reqs.get_mut(&id).filter(|r| r.phase == Phase::Calling) {
             let time = now - req.since;
-            req.away += time.num();
-            req.since = now;
+            (req.away, req.since) = (req.away + time.num(), now);
             self.calls.ended(time, end == CallEnd::Done);
             if end == CallEnd::Unknown {
                 self.calls.lingering.push(now + self.calls.linger);
@@ -519,9 +509,8 @@
         (wait / self.hold.shortest.num() - CALM) / (FULL - CALM)
     }
 
-    /// Departure: while reqs lie unread the pool shrinks, so that the cores read first; unread reqs can be
-    /// told nothing, and their callers send on. It holds against any rush, slow spell or cold start that
-    /// outruns the reading.
+    /// Departure: while reqs lie unread the pool shrinks, so that the cores read first: what lies unread is
+    /// told nothing. It holds against any rush, slow spell or cold start that outruns the reading.
     fn open_size(&self, now: Time) -> f64 {
         (self.pool.size * (1.0 - self.pressure(self.unread(now))).clamp(0.0, 1.0)).max(1.0)
     }
@@ -557,7 +546,7 @@
         // Runs that have long passed their cost show a server slower than it was, before any of them ends.
         let over = |r: &Req| self.costs.spent(r) / self.costs.usual(r).max(1.0);
         let runs: f64 = self.running().filter(|r| r.phase == Phase::OnCore).map(over).sum();
-        self.costs.strain = (runs / (on_core as f64).max(self.pool.cores * 0.5)).clamp(1.0, MOST_STRAIN);
+        self.costs.strain = (runs / (on_core as f64).max(self.pool.cores * 0.5)).max(1.0);
         Results::default()
     }
 
@@ -623,7 +612,8 @@
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Not all at once: callers told at the same time come back over a spread.
-        let wait = (self.burden(now) - FULL * self.hold.shortest.num()).max(0.0) * self.advice.chance.draw();
+        let wait = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0)
+            * self.advice.chance.draw();
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
@@ -684,7 +674,8 @@
 
     /// SERT: a replayable run past the threshold is stopped for good.
     fn overdue(&self, now: Time) -> Option<ReqId> {
-        let loss = self.limits.loss(now);
+        let [arrived, refused, stopped] = self.limits.loss.sums(now);
+        let loss = if arrived > 0.0 { (refused + stopped) / arrived } else { 0.0 };
         let overdue = |r: &&Req| {
             let upper = self.due_at(r) - r.started;
             now - r.started > threshold(self.limits.floor(now, r.handler()).min(upper), upper, loss)
@@ -705,8 +696,8 @@
     }
 
     fn swelling_runs(&self, _: Time) -> Option<ReqId> {
-        let joined = self.reqs.values().find(|r| r.phase == Phase::Joined).map(|r| r.new.id);
-        self.youngest().or(joined).filter(|_| self.memory_used() > self.memory.limit)
+        let joined = || self.reqs.values().find(|r| r.phase == Phase::Joined).map(|r| r.new.id);
+        self.youngest().or_else(joined).filter(|_| self.memory_used() > self.memory.limit)
     }
 
     /// After the notice to leave: what came past the grace does not run.
@@ -717,11 +708,9 @@
 
     /// A repeat takes the answer of the req it repeats, unless that one waits for this one.
     fn repeat(&self, _: Time) -> Option<ReqId> {
-        let waits = |r: &Req, on| r.phase == Phase::Joined && r.new.repeats == Some(on);
-        let joins = |r: &&Req| {
-            let other = r.new.repeats.map(|other| self.reqs.get(&other));
-            other.is_some_and(|other| !other.is_some_and(|o| waits(o, r.new.id)))
-        };
+        let joined = |id| self.reqs.get(&id).filter(|r| r.phase == Phase::Joined);
+        let waits = |id, on| joined(id).is_some_and(|r| r.new.repeats == Some(on));
+        let joins = |r: &&Req| r.new.repeats.is_some_and(|other| !waits(other, r.new.id));
         self.held().find(joins).map(|r| r.new.id)
     }
 
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -5,6 +5,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(pub i64);
 
+pub const SECOND: Time = Time(10_000);
+
 impl Time {
     pub const MAX: Time = Time(i64::MAX / 4);
 
