--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -268,6 +268,11 @@
         (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
     }
 
+    /// Whether a call that may have run is made again: a dependency that all share would hold both.
+    fn again(&self, kind: Kind) -> bool {
+        kind == Kind::Replayable && self.share.is_none()
+    }
+
     /// Backs off when calls fail or are slow, opens again as they end well; one at a time is the probe.
     fn ended(&mut self, time: Time, well: bool) {
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
@@ -407,7 +412,7 @@
             }
             let handler = self.hold.handlers[req.handler()];
             // A call is made again only where that is safe or it is known not to have run.
-            let again = handler.kind == Kind::Replayable || end == CallEnd::NeverRan;
+            let again = self.calls.again(handler.kind) || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
                 (req.phase, req.clock) = (Phase::OnCore, self.costs.clock);
             } else if again && req.tries < MOST_TRIES {
@@ -649,7 +654,7 @@
             // Where the call can be skipped, time is left to go on without it.
             let left = left.times(if handler.skip_value > 0.0 { 1.0 - SKIP_PART } else { 1.0 });
             let again =
-                handler.kind == Kind::Replayable && req.tries + 1 < MOST_TRIES && self.calls.usual > 0.0;
+                self.calls.again(handler.kind) && req.tries + 1 < MOST_TRIES && self.calls.usual > 0.0;
             let cap = if again { left.min(Time((self.calls.usual * PATIENCE) as i64)) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
