Keep calls in hand under the told share at every moment

Cause: the mean over the told time covered seven to eight of its eight buckets and let twice the share out for moments; a shared dependency that slows holds calls longer, so the mean overshot and it fell over. The share now bounds each moment (the mean only where the share is below one call), and what counts as slow follows a slow mean.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -264,7 +264,7 @@
     fn open(&self, now: Time, in_hand: usize) -> bool {
         let held = (in_hand + self.lingering.len()) as f64;
         let mean = self.held.sums(now)[0] / self.held.span();
-        let within = |s: f64| held + 1.0 <= s * CALLS_PART || mean < s * CALLS_PART && held + 1.0 <= 2.0 * s;
+        let within = |s: f64| held + 1.0 <= s * CALLS_PART || held == 0.0 && mean < s * CALLS_PART;
         (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
     }
 
@@ -276,7 +276,7 @@
     /// Backs off when calls fail or are slow, opens again as they end well; one at a time is the probe.
     fn ended(&mut self, time: Time, well: bool) {
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
-        self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT } else { 1.0 };
+        self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
         self.limit =
             if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF }.clamp(self.least, self.most);
     }
