--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -300,7 +300,7 @@
     longest_pause: Time,
     chance: Chance,
     said: Option<f64>,
-    load: Sums<3>, // arrivals, retries among them, time that they lay unread
+    load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
     least: f64,    // time that reading takes by itself
 }
 
@@ -498,15 +498,19 @@
 
     /// How long reqs lay unread lately.
     fn unread(&self, now: Time) -> f64 {
-        let [arrivals, _, lay] = self.advice.load.sums(now);
+        let [arrivals, _, lay, _] = self.advice.load.sums(now);
         lay / arrivals.max(1.0)
     }
 
     /// What callers can take off this server. They turn away blindly, so the work in hand counts in the
     /// measure in which reading, which that saves, uses the cores.
     fn burden(&self, now: Time) -> f64 {
+        self.in_hand() * self.dear(now) / UNREAD + self.unread(now) * UNREAD
+    }
+
+    fn dear(&self, now: Time) -> f64 {
         let reading = self.advice.load.sums(now)[0] * self.advice.least / self.advice.load.span();
-        self.in_hand() * (reading / (DEAR * self.pool.cores)).min(1.0) / UNREAD + self.unread(now) * UNREAD
+        (reading / (DEAR * self.pool.cores)).min(1.0)
     }
 
     /// Part of the way from calm to full.
@@ -613,13 +617,13 @@
         if self.keys.remove(&id).is_some() {
             out.release.push(id);
         }
-        let [arrivals, retries, _] = self.advice.load.sums(now);
+        self.advice.load.add(now, 3, 1.0);
+        let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
-        // Not all at once: callers told at the same time come back over a spread.
-        let wait = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0)
-            * self.advice.chance.draw();
-        let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
+        // The time in which one req of each caller is taken: together they then send what can be taken.
+        let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
+        let pause = if leaving { self.advice.longest_pause } else { Time((turn * self.dear(now)) as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
 
