--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -621,9 +621,14 @@
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
-        // The time in which one req of each caller is taken: together they then send what can be taken.
-        let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
-        let pause = if leaving { self.advice.longest_pause } else { Time((turn * self.dear(now)) as i64) };
+        // Where no share can be advised, the time in which one req of each caller is taken: a server that refuses
+        // quickly looks free, and draws ever more. Else only past a full server's burden, and not all alike.
+        let turn =
+            self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0) * self.dear(now);
+        let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
+        let wait =
+            if self.advice.reading == Reading::Unused { turn } else { over * self.advice.chance.draw() };
+        let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
 
