--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -23,8 +23,7 @@
 const FULL: f64 = 0.6; // work in hand a core at which no more is wanted, likewise
 const LEAST_ADVICE: f64 = 0.25; // least share of traffic asked for, so that callers still hear from us
 const CROWD_PART: f64 = 0.85; // part of the crowd ceiling that is used
-const MEMORY_PART: f64 = 0.9; // part of the memory that is used
-const CALLS_PART: f64 = 0.9; // part of the told share of calls that is used
+const GUARD_PART: f64 = 0.9; // part of the memory and of the told share of calls that is used
 const FIRST_COST: f64 = 0.125; // cost of a req before any is known, part of its response target
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
 const WEIGHT: f64 = 0.1; // of the newest in running means
@@ -164,12 +163,9 @@
     fn floor(&self, now: Time, handler: usize) -> Time {
         let (upper, runs) = &self.runs[handler];
         let bins = runs.sums(now);
-        let (all, mut below) = (bins.iter().sum::<f64>(), 0.0);
-        let reached = |count: &f64| {
-            below += count;
-            all > 0.0 && below >= FLOOR_QUANTILE * all
-        };
-        let bin = bins.iter().position(reached).unwrap_or(BINS - 1);
+        let all = bins.iter().sum::<f64>();
+        let below = |bin: &usize| bins[..=*bin].iter().sum::<f64>();
+        let bin = (0..BINS).find(|bin| all > 0.0 && below(bin) >= FLOOR_QUANTILE * all).unwrap_or(BINS - 1);
         upper.times(((bin + 1) as f64 / BINS as f64).max(FLOOR_PART))
     }
 }
@@ -220,8 +216,7 @@
         if ended || spent > self.usual(req) {
             let sums = &mut self.work[req.handler()];
             *sums = [sums[0] * (1.0 - WEIGHT) + spent, sums[1] * (1.0 - WEIGHT) + req.base];
-            let away = &mut self.away[req.handler()];
-            *away += (req.away - *away) * WEIGHT;
+            self.away[req.handler()] += (req.away - self.away[req.handler()]) * WEIGHT;
         }
     }
 }
@@ -234,7 +229,7 @@
 
 impl Memory {
     pub fn new(limit_kb: f64, blowup: f64, kb_per_key: f64) -> Self {
-        Memory { limit: limit_kb * MEMORY_PART, blowup, per_key: kb_per_key }
+        Memory { limit: limit_kb * GUARD_PART, blowup, per_key: kb_per_key }
     }
 }
 
@@ -245,8 +240,7 @@
     held: Sums<1>, // calls in hand x time
     lingering: Vec<Time>,
     limit: f64,
-    least: f64,
-    most: f64,
+    cores: f64,
     usual: f64, // usual time of a call
 }
 
@@ -254,17 +248,14 @@
     /// `share`: the mean number in hand over `window` that is ours, where told; `linger`: how long an
     /// abandoned call stays.
     pub fn new(share: Option<f64>, window: Time, linger: Time, cores: usize) -> Self {
-        // One that all share is probed with a call at a time; machines of a tier fail one by one.
-        let least = if share.is_some() { 1.0 } else { cores.max(1) as f64 };
-        let most = cores.max(1) as f64 * MOST_CALLS;
-        let (held, lingering) = (Ring::new(window), Vec::new());
-        Calls { share, linger, held, lingering, limit: most, least, most, usual: 0.0 }
+        let (held, lingering, cores) = (Ring::new(window), Vec::new(), cores.max(1) as f64);
+        Calls { share, linger, held, lingering, limit: cores * MOST_CALLS, cores, usual: 0.0 }
     }
 
     fn open(&self, now: Time, in_hand: usize) -> bool {
         let held = (in_hand + self.lingering.len()) as f64;
         let mean = self.held.sums(now)[0] / self.held.span();
-        let within = |s: f64| held + 1.0 <= s * CALLS_PART || held == 0.0 && mean < s * CALLS_PART;
+        let within = |s: f64| held + 1.0 <= s * GUARD_PART || held == 0.0 && mean < s * GUARD_PART;
         (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
     }
 
@@ -273,12 +264,13 @@
         kind == Kind::Replayable && self.share.is_none()
     }
 
-    /// Backs off when calls fail or are slow, opens again as they end well; one at a time is the probe.
+    /// Backs off when calls fail or are slow, opens again as they end well. A dependency that all share is
+    /// probed with one call at a time, a tier, whose machines fail one by one, with one a core.
     fn ended(&mut self, time: Time, well: bool) {
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
-        self.limit =
-            if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF }.clamp(self.least, self.most);
+        let limit = if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF };
+        self.limit = limit.clamp(self.share.map_or(self.cores, |_| 1.0), self.cores * MOST_CALLS);
     }
 }
 
@@ -361,9 +353,7 @@
         let req = Req::new(new, now, base, &handler);
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
-        self.advice.load.add(now, 0, 1.0);
-        self.advice.load.add(now, 1, if new.retry { 1.0 } else { 0.0 });
-        self.advice.load.add(now, 2, new.lay.num());
+        self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.lay.num(), 0.0]);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.lay.num());
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
@@ -528,7 +518,7 @@
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
         let (handlers, customers) = self.hold.gains(now);
-        let pressed = f64::from(u8::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0));
+        let pressed = f64::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0);
         let rank = |req: &Req| {
             let handler = &self.hold.handlers[req.handler()];
             let late = now.num() + self.costs.of(req) > req.target.num();
@@ -621,13 +611,12 @@
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.drain.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
-        // Where no share can be advised, the time in which one req of each caller is taken: a server that refuses
-        // quickly looks free, and draws ever more. Else only past a full server's burden, and not all alike.
-        let turn =
-            self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0) * self.dear(now);
+        // Where no share can be advised, the time in which one req of each caller is taken: a server that
+        // refuses quickly looks free, and draws ever more. Else only past a full burden, and not all alike.
+        let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
-        let wait =
-            if self.advice.reading == Reading::Unused { turn } else { over * self.advice.chance.draw() };
+        let spread = self.advice.reading == Reading::Unused;
+        let wait = if spread { turn * self.dear(now) } else { over * self.advice.chance.draw() };
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
@@ -681,9 +670,8 @@
 
     /// The same where nothing of it ran: it is turned away.
     fn due_unstarted(&self, now: Time) -> Option<ReqId> {
-        self.held()
-            .find(|r| r.new.repeats.is_none() && self.due_at(r) - self.beat.resolution <= now)
-            .map(|r| r.new.id)
+        let due = |r: &&Req| r.new.repeats.is_none() && self.due_at(r) - self.beat.resolution <= now;
+        self.held().find(due).map(|r| r.new.id)
     }
 
     /// SERT: a replayable run past the threshold is stopped for good.
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -283,6 +283,10 @@
         live.fold([0.0; K], |sums, turn| std::array::from_fn(|k| sums[k] + self.slots[Self::slot(turn)][k]))
     }
 
+    pub fn add_all(&mut self, now: Time, amounts: [f64; K]) {
+        amounts.into_iter().enumerate().for_each(|(k, amount)| self.add(now, k, amount));
+    }
+
     pub fn add(&mut self, now: Time, k: usize, amount: f64) {
         let turn = now.0.div_euclid(self.width).max(self.turn);
         for old in (self.turn + 1).max(turn - SLOTS as i64 + 1)..=turn {
