--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -3,6 +3,12 @@
 use cottondyke_decide::decide::threshold;
 use cottondyke_decide::types::*;
 
+fn arrive(world: &mut World, count: usize, lay: Time) {
+    for _ in 0..count {
+        world.arrive(0, lay, TIMEOUT, None);
+    }
+}
+
 #[test]
 fn threshold_slides_from_the_upper_bound_to_the_floor() {
     let (floor, upper) = (Time(1000), Time(9000));
@@ -41,3 +47,95 @@
     assert!(world.reqs[&late].answered && !world.reqs[&late].ran);
     assert_eq!(world.advice, 0.0);
 }
+
+#[test]
+fn while_reqs_lie_unread_fewer_run() {
+    // A slowed server that went on running read reqs when nobody waited any more.
+    for (lay, running) in [(0, CORES), (6500, 1)] {
+        let mut world = World::new(PLAIN);
+        arrive(&mut world, 4, Time(lay));
+        assert_eq!(world.count(State::OnCore), running, "lay {lay}");
+    }
+}
+
+#[test]
+fn a_held_req_that_cannot_be_won_is_shed_while_the_pool_is_shrunk() {
+    // With few runs on the cores the intake check once held a server that only read for idle.
+    let mut world = World::new(PLAIN);
+    arrive(&mut world, 3, Time(6500));
+    world.frozen = true;
+    world.pass(Time(2000));
+    assert!(!world.shed.is_empty());
+}
+
+#[test]
+fn calls_in_hand_stay_under_the_told_share() {
+    // A mean over the told time let twice the share out for moments, and the dependency fell over.
+    let mut world = World::new(Set { share: Some(3.0), ..PLAIN });
+    for _ in 0..6 {
+        world.arrive(0, Time(0), TIMEOUT, None);
+        world.ids(State::OnCore).into_iter().for_each(|id| world.want_call(id));
+    }
+    assert_eq!(world.count(State::Calling), 2);
+    assert!(world.count(State::Wanting) > 0);
+}
+
+#[test]
+fn a_call_to_a_tier_is_given_up_early_and_one_to_a_shared_dependency_is_not() {
+    // Machines that were cut off took the whole time that a req had left.
+    for (share, early) in [(None, true), (Some(3.0), false)] {
+        let mut world = World::new(Set { share, ..PLAIN });
+        for _ in 0..2 {
+            let id = world.arrive(0, Time(0), TIMEOUT, None);
+            world.want_call(id);
+            world.pass(Time(200));
+            world.end_call(id, CallEnd::Done);
+            world.end(id, RunEnd::Done);
+        }
+        assert_eq!(world.caps[1] < world.caps[0].times(0.5), early, "{:?}", world.caps);
+    }
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_made_again_for_a_uniqued_req() {
+    let mut world = World::new(PLAIN);
+    let id = world.arrive(1, Time(0), TIMEOUT, Some(1));
+    world.want_call(id);
+    world.end_call(id, CallEnd::Unknown);
+    assert!(world.reqs[&id].answered && world.caps.len() == 1);
+}
+
+#[test]
+fn sheds_name_a_time_to_come_back_where_no_share_can_be_advised() {
+    // A server that refused quickly and named no time drew the traffic of callers that pick the least busy.
+    let mut world = World::new(Set { reading: Reading::Unused, ..PLAIN });
+    world.wake(1.0);
+    arrive(&mut world, 40, Time(500));
+    assert!(!world.shed.is_empty() && world.shed.iter().all(|s| s.pause > Time(0)), "{:?}", world.shed);
+}
+
+#[test]
+fn a_server_whose_work_hung_takes_reqs_again() {
+    let mut world = World::new(PLAIN);
+    arrive(&mut world, 3, Time(0));
+    world.frozen = true;
+    world.pass(TIMEOUT);
+    assert!(world.reqs.values().all(|n| n.answered));
+    world.frozen = false;
+    world.pass(Time(5000));
+    let id = world.arrive(0, Time(0), TIMEOUT, None);
+    assert_eq!(world.reqs[&id].state, State::OnCore);
+}
+
+#[test]
+fn a_frozen_server_asks_again_for_its_stops() {
+    // A stop while the cores are frozen has no effect; the run would hold its core for ever.
+    let mut world = World::new(PLAIN);
+    let id = world.arrive(0, Time(0), TIMEOUT, None);
+    world.frozen = true;
+    world.pass(TIMEOUT);
+    assert_eq!(world.reqs[&id].state, State::OnCore);
+    world.frozen = false;
+    world.pass(TARGET);
+    assert_eq!(world.reqs[&id].state, State::Over);
+}
--- a/crates/decide/tests/decide/rules.rs
+++ b/crates/decide/tests/decide/rules.rs
@@ -11,7 +11,7 @@
         told: choice & 4 != 0,
         cold: choice & 8 != 0,
         reading: [Reading::Share, Reading::Credit, Reading::Rank, Reading::Unused][choice as usize / 16 % 4],
-        share: (choice & 64 != 0).then_some(0.8),
+        share: (choice & 64 != 0).then_some([0.8, 2.5][choice as usize / 512 % 2]),
         skip: if choice & 128 != 0 { 0.5 } else { 0.0 },
         limit_kb: if choice & 256 != 0 { 600.0 } else { 1e6 },
     }
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -71,6 +71,7 @@
     pub frozen: bool,
     pub most_passes: usize,
     pub advice: f64,
+    pub caps: Vec<Time>,
     next: u32,
 }
 
@@ -105,9 +106,22 @@
             Advice::new(set.reading, 4.0, TARGET, TARGET, 7),
         );
         let (reqs, keys, wakes, shed) = (BTreeMap::new(), BTreeMap::new(), vec![], vec![]);
-        let (left, frozen, most_passes, advice, next) = (None, false, 0, 1.0, 1);
-        let mut world =
-            World { now, set, decider, reqs, keys, left, wakes, shed, frozen, most_passes, advice, next };
+        let (left, frozen, most_passes, advice, caps, next) = (None, false, 0, 1.0, vec![], 1);
+        let mut world = World {
+            now,
+            set,
+            decider,
+            reqs,
+            keys,
+            left,
+            wakes,
+            shed,
+            frozen,
+            most_passes,
+            advice,
+            caps,
+            next,
+        };
         world.wake(0.0);
         world
     }
@@ -199,7 +213,7 @@
         while let Some(next) = self.wakes.iter().min().copied().filter(|at| *at <= end) {
             self.now = self.now.max(next);
             self.wakes.retain(|at| *at > next);
-            self.wake(if self.count(State::OnCore) >= CORES { 1.0 } else { 0.5 });
+            self.wake(if self.frozen || self.count(State::OnCore) >= CORES { 1.0 } else { 0.5 });
         }
         self.now = end;
         self.check();
@@ -268,6 +282,7 @@
             let noted = self.reqs.get_mut(&id).unwrap();
             assert_eq!(noted.state, State::Wanting, "a call that nothing waits for");
             assert!(cap > Time(0));
+            self.caps.push(cap);
             let safe = noted.kind == Kind::Replayable || !noted.calls_unknown;
             assert!(safe, "effect twice: a call made again that may have run");
             noted.state = State::Calling;
@@ -297,6 +312,9 @@
         let ceiling = 1.0 + (FACTOR - 1.0) * (FIRST + (1.0 - FIRST) * warm).min(1.0);
         let on_core = self.count(State::OnCore) as f64;
         assert!(on_core <= CORES as f64 * ceiling, "fall-over: {on_core} on the cores");
+        // What all call dies when the shares add up; one call may pass a share below one.
+        let calling = self.count(State::Calling) as f64;
+        assert!(self.set.share.is_none_or(|s| calling <= s.max(1.0)), "fall-over: {calling} calls in hand");
         let need = |n: &Noted| match n.state {
             State::Over => 0.0,
             State::Held | State::Joined => n.kb,
