Measure customers' shares against the middle customer

Cause: a server knows the fleet's size only from its start, and sheds come back as retries; after a shrink every customer looked in excess. Hurts where most customers pass their share at once: then none counts as in excess by itself.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -96,7 +96,13 @@
         let [whole, handler, customer] = self.weights;
         let handlers = Self::scarcity(now, handler, &self.by_handler).iter().map(|e| whole + e).collect();
         let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().enumerate();
-        let within = |c: usize| (self.quotas[c] / self.by_customer[c].sums(now)[2].max(1.0)).min(1.0);
+        let counts = self.by_customer.iter().zip(&self.quotas).map(|(r, quota)| r.sums(now)[2] / quota);
+        let over: Vec<f64> = counts.collect();
+        // A smaller fleet or retries swell all counts alike: a share is measured against the middle customer.
+        let mut sorted = over.clone();
+        sorted.sort_by(f64::total_cmp);
+        let middle = sorted.get(sorted.len() / 2).map_or(1.0, |m| m.max(1.0));
+        let within = |c: usize| (middle / over[c].max(middle)).min(1.0);
         let share = |c: usize| within(c) + (1.0 - within(c)) * self.over_share;
         (handlers, customers.map(|(c, extra)| share(c) * (whole + extra)).collect())
     }
