--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -10,7 +10,7 @@
 const LOW_WATER: f64 = 0.05; // loss up to which the threshold stays at its upper bound
 const HIGH_WATER: f64 = 0.15; // loss from which it is at its lower bound
 const ALPHA: f64 = 4.0; // bend of the threshold between the two
-const FLOOR_QUANTILE: f64 = 0.98; // of a handler's run times: the threshold's lower bound
+const FLOOR_QUANTILE: f64 = 0.99; // of a handler's run times: the threshold's lower bound
 const RUNS_SPAN: f64 = 4.0; // time over which run times count, times the client timeout
 const SHARE_SPAN: f64 = 2.0; // time over which customers' shares count, times the longest client timeout
 const FLOOR_PART: f64 = 0.1; // least lower bound, part of the upper one
@@ -33,7 +33,7 @@
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
-const MOST_TRIES: u32 = 3; // calls made for one need
+const TRIES: u32 = 3; // calls made for one need
 const TRY_PAUSE: f64 = 0.25; // between them, part of a call's usual time
 const STOP_PART: f64 = 0.95; // of the time left after the notice to leave, by which all is answered
 const ADVICE_STEP: f64 = 0.02; // least relative change of the advice that is said
@@ -95,16 +95,15 @@
     fn gains(&self, now: Time) -> (Vec<f64>, Vec<f64>) {
         let [whole, handler, customer] = self.weights;
         let handlers = Self::scarcity(now, handler, &self.by_handler).iter().map(|e| whole + e).collect();
-        let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().enumerate();
-        let counts = self.by_customer.iter().zip(&self.quotas).map(|(r, quota)| r.sums(now)[2] / quota);
-        let over: Vec<f64> = counts.collect();
+        let over = self.by_customer.iter().zip(&self.quotas).map(|(r, quota)| r.sums(now)[2] / quota);
+        let over: Vec<f64> = over.collect();
         // A smaller fleet or retries swell all counts alike: a share is measured against the middle customer.
         let mut sorted = over.clone();
         sorted.sort_by(f64::total_cmp);
         let middle = sorted.get(sorted.len() / 2).map_or(1.0, |m| m.max(1.0));
-        let within = |c: usize| (middle / over[c].max(middle)).min(1.0);
-        let share = |c: usize| within(c) + (1.0 - within(c)) * self.over_share;
-        (handlers, customers.map(|(c, extra)| share(c) * (whole + extra)).collect())
+        let share = |over: &f64| self.over_share + (1.0 - self.over_share) * middle / over.max(middle);
+        let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().zip(&over);
+        (handlers, customers.map(|(extra, over)| share(over) * (whole + extra)).collect())
     }
 }
 
@@ -411,7 +410,7 @@
             let again = self.calls.again(handler.kind) || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
                 (req.phase, req.clock) = (Phase::OnCore, self.costs.clock);
-            } else if again && req.tries < MOST_TRIES {
+            } else if again && req.tries < TRIES {
                 req.phase = Phase::Wanting;
             } else if handler.skip_value > 0.0 && !req.answered {
                 self.skip(now, id, &mut out);
@@ -610,9 +609,7 @@
     fn turn_away(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let Some(req) = self.reqs.remove(&id) else { return };
         self.limits.loss.add(now, 1, 1.0);
-        if self.keys.remove(&id).is_some() {
-            out.release.push(id);
-        }
+        out.release.extend(self.keys.remove(&id).map(|_| id));
         self.advice.load.add(now, 3, 1.0);
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.drain.left.is_some();
@@ -657,8 +654,7 @@
             let left = if now < req.target { req.target.min(due) - now } else { due - now };
             // Where the call can be skipped, time is left to go on without it.
             let left = left.times(if handler.skip_value > 0.0 { 1.0 - SKIP_PART } else { 1.0 });
-            let again =
-                self.calls.again(handler.kind) && req.tries + 1 < MOST_TRIES && self.calls.usual > 0.0;
+            let again = self.calls.again(handler.kind) && req.tries + 1 < TRIES && self.calls.usual > 0.0;
             let cap = if again { left.min(Time((self.calls.usual * PATIENCE) as i64)) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
@@ -725,9 +721,7 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        if self.pool.busy.max(self.on_core() as f64 / self.pool.cores) < FREE_BUSY {
-            return None;
-        }
+        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.cores) >= FREE_BUSY;
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
@@ -738,7 +732,7 @@
             ahead += own;
             finish > (r.arrived + (r.target - r.arrived).times(part)).min(self.due_at(r)).num()
         };
-        self.order(now).iter().find(lost).map(|r| r.new.id)
+        self.order(now).iter().filter(|_| in_use).find(lost).map(|r| r.new.id)
     }
 
     /// The pool: as many on the cores as keep them busy, within crowd and memory.
