Start nothing while more runs queue to call than may; back off to one where refused

Cause: after the front tier of returns grew fourfold, the lower tier refused two calls of three; fronts ran reqs up to their calls and failed 43% of them. Calls refused now back off to one at a time (unanswered ones to one a core, as before), and nothing starts while the queue to call is longer than the calls in hand may be. Holds against any lower side that is the narrow place.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -269,13 +269,15 @@
         kind == Kind::Replayable && self.share.is_none()
     }
 
-    /// Backs off when calls fail or are slow, opens again as they end well. A dependency that all share is
-    /// probed with one call at a time, a tier, whose machines fail one by one, with one a core.
-    fn ended(&mut self, time: Time, well: bool) {
+    /// Backs off when calls fail or are slow, opens again as they end well. What refuses or is shared is probed
+    /// with one call at a time; a tier that does not answer, whose machines fail one by one, with one a core.
+    fn ended(&mut self, time: Time, end: CallEnd) {
+        let (well, refused) = (end == CallEnd::Done, end == CallEnd::NeverRan);
         let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
+        let least = if refused || self.share.is_some() { 1.0 } else { self.cores.min(self.limit) };
         let limit = if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF };
-        self.limit = limit.clamp(self.share.map_or(self.cores, |_| 1.0), self.cores * MOST_CALLS);
+        self.limit = limit.clamp(least, self.cores * MOST_CALLS);
     }
 }
 
@@ -401,7 +403,7 @@
         if let Some(req) = self.reqs.get_mut(&id).filter(|r| r.phase == Phase::Calling) {
             let time = now - req.since;
             (req.away, req.since) = (req.away + time.num(), now);
-            self.calls.ended(time, end == CallEnd::Done);
+            self.calls.ended(time, end);
             if end == CallEnd::Unknown {
                 self.calls.lingering.push(now + self.calls.linger);
             }
@@ -519,6 +521,11 @@
         (self.pool.size * (1.0 - self.pressure(self.unread(now))).clamp(0.0, 1.0)).max(1.0)
     }
 
+    /// Runs that wait to call, part of the calls that may be in hand.
+    fn queued(&self) -> f64 {
+        self.running().filter(|r| r.live(Phase::Wanting)).count() as f64 / self.calls.limit
+    }
+
     /// Held reqs, first to start first. Oldest first, until the pressure shows that not all can be won:
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
@@ -721,7 +728,8 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.cores) >= FREE_BUSY;
+        let in_use =
+            self.pool.busy.max(self.on_core() as f64 / self.pool.cores).max(self.queued()) >= FREE_BUSY;
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
@@ -738,7 +746,9 @@
     /// The pool: as many on the cores as keep them busy, within crowd and memory.
     fn next_to_start(&self, now: Time) -> Option<ReqId> {
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
-        let open = on_core + 1.0 <= self.open_size(now) && running + 1.0 <= self.pool.ceiling(now);
+        let open = self.queued() <= 1.0
+            && on_core + 1.0 <= self.open_size(now)
+            && running + 1.0 <= self.pool.ceiling(now);
         let room = self.memory.limit - self.memory_used();
         let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
