Give up calls at four times their usual time, also where they can be skipped

A call that can be skipped is given up once and not made again, so nothing piles up at a shared dependency.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -28,7 +28,7 @@
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
 const WEIGHT: f64 = 0.1; // of the newest in running means
 const SLOW: f64 = 4.0; // multiple of its usual time at which a call counts as slow
-const PATIENCE: f64 = 6.0; // multiple of its usual time after which a call that may be made again is given up
+const PATIENCE: f64 = 4.0; // multiple of its usual time after which a call that may be made again is given up
 const BACK_OFF: f64 = 0.85; // of the calls in hand that stay after one failed or was slow
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
@@ -662,7 +662,11 @@
             // Where the call can be skipped, time is left to go on without it.
             let left = left.times(if handler.skip_value > 0.0 { 1.0 - SKIP_PART } else { 1.0 });
             let again = self.calls.again(handler.kind) && req.tries + 1 < TRIES && self.calls.usual > 0.0;
-            let cap = if again { left.min(Time((self.calls.usual * PATIENCE) as i64)) } else { left };
+            let cap = if (again || handler.skip_value > 0.0) && self.calls.usual > 0.0 {
+                left.min(Time((self.calls.usual * PATIENCE) as i64))
+            } else {
+                left
+            };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
             out.call.push((id, cap.max(self.beat.resolution)));
