--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -27,8 +27,7 @@
 const FIRST_COST: f64 = 0.125; // cost of a req before any is known, part of its response target
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
 const WEIGHT: f64 = 0.1; // of the newest in running means
-const SLOW: f64 = 4.0; // multiple of its usual time at which a call counts as slow
-const PATIENCE: f64 = 4.0; // multiple of its usual time after which a call that may be made again is given up
+const PATIENCE: f64 = 4.0; // multiple of its usual time at which a call is slow, or may be given up
 const BACK_OFF: f64 = 0.85; // of the calls in hand that stay after one failed or was slow
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
@@ -264,19 +263,14 @@
         (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
     }
 
-    /// Whether a call that may have run is made again: a dependency that all share would hold both.
-    fn again(&self, kind: Kind) -> bool {
-        kind == Kind::Replayable && self.share.is_none()
-    }
-
-    /// Backs off when calls fail or are slow, opens again as they end well. What refuses or is shared is probed
+    /// Fewer calls when they fail or are slow, more as they end well. What refuses or is shared is probed
     /// with one call at a time; a tier that does not answer, whose machines fail one by one, with one a core.
     fn ended(&mut self, time: Time, end: CallEnd) {
-        let (well, refused) = (end == CallEnd::Done, end == CallEnd::NeverRan);
-        let slow = self.usual > 0.0 && time.num() > SLOW * self.usual;
+        let well = end == CallEnd::Done && (self.usual == 0.0 || time.num() <= PATIENCE * self.usual);
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
-        let least = if refused || self.share.is_some() { 1.0 } else { self.cores.min(self.limit) };
-        let limit = if well && !slow { self.limit + 1.0 } else { self.limit * BACK_OFF };
+        let probe = end == CallEnd::NeverRan || self.share.is_some();
+        let least = if probe { 1.0 } else { self.cores.min(self.limit) };
+        let limit = if well { self.limit + 1.0 } else { self.limit * BACK_OFF };
         self.limit = limit.clamp(least, self.cores * MOST_CALLS);
     }
 }
@@ -408,8 +402,9 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             let handler = self.hold.handlers[req.handler()];
-            // A call is made again only where that is safe or it is known not to have run.
-            let again = self.calls.again(handler.kind) || end == CallEnd::NeverRan;
+            // A call is made again where that is safe or it never ran; a dependency that all share holds both.
+            let again =
+                handler.kind == Kind::Replayable && self.calls.share.is_none() || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
                 (req.phase, req.clock) = (Phase::OnCore, self.costs.clock);
             } else if again && req.tries < TRIES {
@@ -452,8 +447,6 @@
         self.settle(now, out)
     }
 
-    // What the rules look at.
-
     fn held(&self) -> impl Iterator<Item = &Req> {
         self.reqs.values().filter(|r| r.phase == Phase::Held)
     }
@@ -544,8 +537,6 @@
         held.into_iter().map(|(_, req)| req).collect()
     }
 
-    // What goes on after and around the rules.
-
     fn pass(&mut self, now: Time) -> Results {
         let (on_core, span) = (self.on_core(), (now - self.costs.last).num());
         let calls = self.reqs.values().filter(|r| r.phase == Phase::Calling).count();
@@ -652,36 +643,29 @@
         }
     }
 
-    /// A call that may be made again is given up early: the next may reach another machine where this one
-    /// hangs, is slow or cut off. Where all below are slow, their usual time and so the patience grows.
+    /// A call that may be made again or skipped is given up early: the next may reach another machine where
+    /// this one hangs, is slow or cut off. Where all are slow, their usual time and so the patience grows.
     fn call(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let due = self.reqs.get(&id).map_or(now, |r| self.due_at(r));
         if let Some(req) = self.reqs.get_mut(&id) {
             let handler = &self.hold.handlers[req.handler()];
             let left = if now < req.target { req.target.min(due) - now } else { due - now };
-            // Where the call can be skipped, time is left to go on without it.
-            let left = left.times(if handler.skip_value > 0.0 { 1.0 - SKIP_PART } else { 1.0 });
-            let again = self.calls.again(handler.kind) && req.tries + 1 < TRIES && self.calls.usual > 0.0;
-            let cap = if (again || handler.skip_value > 0.0) && self.calls.usual > 0.0 {
-                left.min(Time((self.calls.usual * PATIENCE) as i64))
-            } else {
-                left
-            };
+            let again =
+                handler.kind == Kind::Replayable && self.calls.share.is_none() && req.tries + 1 < TRIES;
+            let early = (again || handler.skip_value > 0.0) && self.calls.usual > 0.0;
+            let patience = if early { Time((self.calls.usual * PATIENCE) as i64) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
-            out.call.push((id, cap.max(self.beat.resolution)));
+            out.call.push((id, left.min(patience).max(self.beat.resolution)));
         }
     }
 
-    // The conditions.
-
-    /// No req is lost: one that falls due gets its answer now, whatever runs.
+    /// No req is lost: one that falls due is answered now, whatever runs; turned away where nothing of it ran.
     fn due(&self, now: Time) -> Option<ReqId> {
         let due = |r: &&Req| !r.answered && self.due_at(r) - self.beat.resolution <= now;
         self.reqs.values().find(due).map(|r| r.new.id)
     }
 
-    /// The same where nothing of it ran: it is turned away.
     fn due_unstarted(&self, now: Time) -> Option<ReqId> {
         let due = |r: &&Req| r.new.repeats.is_none() && self.due_at(r) - self.beat.resolution <= now;
         self.held().find(due).map(|r| r.new.id)
@@ -732,8 +716,7 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        let in_use =
-            self.pool.busy.max(self.on_core() as f64 / self.pool.cores).max(self.queued()) >= FREE_BUSY;
+        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.cores).max(self.queued());
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
@@ -744,7 +727,7 @@
             ahead += own;
             finish > (r.arrived + (r.target - r.arrived).times(part)).min(self.due_at(r)).num()
         };
-        self.order(now).iter().filter(|_| in_use).find(lost).map(|r| r.new.id)
+        self.order(now).iter().filter(|_| in_use >= FREE_BUSY).find(lost).map(|r| r.new.id)
     }
 
     /// The pool: as many on the cores as keep them busy, within crowd and memory.
