--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -28,6 +28,7 @@
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
 const WEIGHT: f64 = 0.1; // of the newest in running means
 const PATIENCE: f64 = 4.0; // multiple of its usual time at which a call is slow, or may be given up
+const BACKED_OFF: f64 = 3.0; // calls in hand a core below which they count as backed off
 const BACK_OFF: f64 = 0.85; // of the calls in hand that stay after one failed or was slow
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
@@ -402,7 +403,7 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             let handler = self.hold.handlers[req.handler()];
-            // A call is made again where that is safe or it never ran; a dependency that all share holds both.
+            // A call is made again where that is safe or it never ran; what all share would hold both.
             let again =
                 handler.kind == Kind::Replayable && self.calls.share.is_none() || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
@@ -643,8 +644,8 @@
         }
     }
 
-    /// A call that may be made again or skipped is given up early: the next may reach another machine where
-    /// this one hangs, is slow or cut off. Where all are slow, their usual time and so the patience grows.
+    /// A call that may be made again is given up early: the next may reach another machine where this one
+    /// hangs, is slow or cut off. One that can be skipped is while calls are backed off.
     fn call(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let due = self.reqs.get(&id).map_or(now, |r| self.due_at(r));
         if let Some(req) = self.reqs.get_mut(&id) {
@@ -652,7 +653,8 @@
             let left = if now < req.target { req.target.min(due) - now } else { due - now };
             let again =
                 handler.kind == Kind::Replayable && self.calls.share.is_none() && req.tries + 1 < TRIES;
-            let early = (again || handler.skip_value > 0.0) && self.calls.usual > 0.0;
+            let backed_off = handler.skip_value > 0.0 && self.calls.limit < self.calls.cores * BACKED_OFF;
+            let early = (again || backed_off) && self.calls.usual > 0.0;
             let patience = if early { Time((self.calls.usual * PATIENCE) as i64) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
@@ -660,7 +662,7 @@
         }
     }
 
-    /// No req is lost: one that falls due is answered now, whatever runs; turned away where nothing of it ran.
+    /// No req is lost: one that falls due is answered now, whatever runs; turned away where none of it ran.
     fn due(&self, now: Time) -> Option<ReqId> {
         let due = |r: &&Req| !r.answered && self.due_at(r) - self.beat.resolution <= now;
         self.reqs.values().find(due).map(|r| r.new.id)
