--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -28,13 +28,11 @@
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
 const WEIGHT: f64 = 0.1; // of the newest in running means
 const PATIENCE: f64 = 4.0; // multiple of its usual time at which a call is slow, or may be given up
-const BACKED_OFF: f64 = 3.0; // calls in hand a core below which they count as backed off
 const BACK_OFF: f64 = 0.85; // of the calls in hand that stay after one failed or was slow
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
 const TRIES: u32 = 3; // calls made for one need
-const TRY_PAUSE: f64 = 0.25; // between them, part of a call's usual time
 const STOP_PART: f64 = 0.95; // of the time left after the notice to leave, by which all is answered
 const ADVICE_STEP: f64 = 0.02; // least relative change of the advice that is said
 const DEAR: f64 = 0.25; // part of the cores from which reading counts as dear
@@ -653,7 +651,7 @@
             let left = if now < req.target { req.target.min(due) - now } else { due - now };
             let again =
                 handler.kind == Kind::Replayable && self.calls.share.is_none() && req.tries + 1 < TRIES;
-            let backed_off = handler.skip_value > 0.0 && self.calls.limit < self.calls.cores * BACKED_OFF;
+            let backed_off = handler.skip_value > 0.0 && self.calls.limit < self.calls.cores;
             let early = (again || backed_off) && self.calls.usual > 0.0;
             let patience = if early { Time((self.calls.usual * PATIENCE) as i64) } else { left };
             req.away += (now - req.since).num();
@@ -752,7 +750,7 @@
 
     fn next_to_call(&self, now: Time) -> Option<ReqId> {
         let in_hand = self.reqs.values().filter(|r| r.phase == Phase::Calling).count();
-        let rested = |r: &&Req| (now - r.since).num() >= self.calls.usual * TRY_PAUSE * r.tries as f64;
+        let rested = |r: &&Req| (now - r.since).num() >= self.calls.usual * r.tries as f64;
         let next = self
             .running()
             .filter(|r| r.live(Phase::Wanting))
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -139,3 +139,39 @@
     world.pass(TARGET);
     assert_eq!(world.reqs[&id].state, State::Over);
 }
+
+#[test]
+fn nothing_starts_while_refused_calls_queue() {
+    // A front tier grown past its lower tier ran reqs up to calls that were refused, and failed them.
+    let mut world = World::new(PLAIN);
+    for _ in 0..20 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.want_call(id);
+        while !world.reqs[&id].answered {
+            world.pass(Time(10));
+            world.ids(State::Calling).into_iter().for_each(|id| world.end_call(id, CallEnd::NeverRan));
+        }
+    }
+    for _ in 0..3 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.want_call(id);
+    }
+    let before = world.reqs.values().filter(|n| n.ran).count();
+    arrive(&mut world, 5, Time(0));
+    assert!(world.count(State::Wanting) > 1);
+    assert_eq!(world.reqs.values().filter(|n| n.ran).count(), before);
+}
+
+#[test]
+fn a_call_that_can_be_skipped_is_not_given_up_early_while_calls_end_well() {
+    // On a quiet day one answer in eight went out without its call.
+    let mut world = World::new(Set { share: Some(3.0), skip: 0.5, ..PLAIN });
+    for _ in 0..3 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.want_call(id);
+        world.pass(Time(100));
+        world.end_call(id, CallEnd::Done);
+        world.end(id, RunEnd::Done);
+    }
+    assert!(world.caps.iter().all(|cap| *cap >= TARGET.times(0.5)), "{:?}", world.caps);
+}
