--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -18,15 +18,13 @@
 pub struct Places {
     pub handlers: usize,
     pub busy: Option<usize>,
-    pub runnable: Option<usize>,
-    pub memory: Option<usize>,
 }
 
 pub fn places(conf: &Value) -> Places {
     let names = conf.get("family_info").map_or(&[][..], |info| list(info, "own_stats"));
     let place = |name: &str| names.iter().position(|n| n.as_str() == Some(name));
     let handlers = list(conf, "classes").len();
-    Places { handlers, busy: place("cpu_busy"), runnable: place("runnable"), memory: place("mem_used") }
+    Places { handlers, busy: place("cpu_busy") }
 }
 
 fn handler(place: usize, class: &Value, info: &Value) -> Result<Handler, Wrong> {
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -138,9 +138,8 @@
 /// What the server's own gauges read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
+    /// The part of the cores in use.
     pub busy: Option<f64>,
-    pub runnable: Option<f64>,
-    pub memory: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -202,7 +202,7 @@
     }
 
     pub fn wake(&mut self, busy: f64) {
-        let gauges = Gauges { busy: Some(busy), runnable: None, memory: None };
+        let gauges = Gauges { busy: Some(busy) };
         let results = self.decider.wake(self.now, gauges);
         self.apply(results);
     }
