Close idle connections at once where callers seldom come back

Twins with four callers do not show it. Change: where the mean caller comes back later than a quarter of the idle time, connections idle for a two hundredth of it are closed. The number of callers is told at start, arrivals are counted here. Also holds against any front of many small callers; may hurt where handshakes are dear and callers come back just after a quarter of the idle time.

--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -86,11 +86,11 @@
     };
     let callers = maybe_number(info, "upstreams")?.unwrap_or(1.0);
     let pool = Pool::new(now, cores, factor, first, span(rules, "warm_within_ms")?);
-    let memory = Memory::new(
-        number(info, "mem_limit_kb")?,
-        maybe_number(info, "blowup")?.unwrap_or(1.0),
-        maybe_number(info, "kb_per_key")?.unwrap_or(0.0),
-    );
+    let memory = Memory {
+        limit: number(info, "mem_limit_kb")?,
+        blowup: maybe_number(info, "blowup")?.unwrap_or(1.0),
+        per_key: maybe_number(info, "kb_per_key")?.unwrap_or(0.0),
+    };
     Ok(Decider::new(
         span(conf, "resolution_ms")?.max(Time(1)),
         Hold::new(&handlers, &quotas, fleet, over_share, by_work, weights),
@@ -99,7 +99,7 @@
         Costs::new(now, &handlers, first),
         memory,
         Calls::new(share, span(info, "calls_over_ms")?, span(info, "linger_ms")?, cores),
-        Drain::new(span(rules, "drain_grace_ms")?),
-        Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?, seed),
+        span(rules, "drain_grace_ms")?,
+        Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?, span(info, "idle_ms")?, seed),
     ))
 }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -39,6 +39,8 @@
 const UNREAD: f64 = 2.0; // weight of what lies unread over what is in hand, for callers
 const LAST_SHARE: f64 = 0.2; // share of retries among arrivals from which a shed asks for no further try
 
+const RETURN_PART: f64 = 0.25; // of the time callers leave connections idle, by which one kept must be used
+const LEAST_IDLE: f64 = 0.005; // of that time, for which connections not worth keeping stay
 type Sums<const K: usize> = Ring<K, SLOTS>;
 
 /// What reqs are worth, from the goal's weights and what was won lately.
@@ -165,10 +167,7 @@
 
     fn floor(&self, now: Time, handler: usize) -> Time {
         let (upper, runs) = &self.runs[handler];
-        let bins = runs.sums(now);
-        let all = bins.iter().sum::<f64>();
-        let below = |bin: &usize| bins[..=*bin].iter().sum::<f64>();
-        let bin = (0..BINS).find(|bin| all > 0.0 && below(bin) >= FLOOR_QUANTILE * all).unwrap_or(BINS - 1);
+        let bin = runs.quantile(now, FLOOR_QUANTILE).unwrap_or(BINS - 1);
         upper.times(((bin + 1) as f64 / BINS as f64).max(FLOOR_PART))
     }
 }
@@ -224,18 +223,6 @@
     }
 }
 
-pub struct Memory {
-    limit: f64,
-    blowup: f64,
-    per_key: f64,
-}
-
-impl Memory {
-    pub fn new(limit_kb: f64, blowup: f64, kb_per_key: f64) -> Self {
-        Memory { limit: limit_kb * GUARD_PART, blowup, per_key: kb_per_key }
-    }
-}
-
 /// Calls to what is below.
 pub struct Calls {
     share: Option<f64>,
@@ -274,17 +261,6 @@
     }
 }
 
-pub struct Drain {
-    grace: Time,
-    left: Option<(Time, Time)>, // notice, stop
-}
-
-impl Drain {
-    pub fn new(grace: Time) -> Self {
-        Drain { grace, left: None }
-    }
-}
-
 /// What callers are told.
 pub struct Advice {
     reading: Reading,
@@ -294,12 +270,24 @@
     said: Option<f64>,
     load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
     least: f64,    // time that reading takes by itself
+    keep: f64,     // time for which idle connections stay open
+    seen: Sums<1>, // arrivals, over the time that callers leave them open
 }
 
 impl Advice {
-    pub fn new(reading: Reading, callers: f64, longest_pause: Time, heeded: Time, seed: u64) -> Self {
-        let (load, chance) = (Ring::new(heeded), Chance::new(seed));
-        Advice { reading, callers, longest_pause, chance, said: None, load, least: f64::MAX }
+    pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, idle: Time, seed: u64) -> Self {
+        let (load, chance, seen) = (Ring::new(heeded), Chance::new(seed), Ring::new(idle));
+        let (said, least, keep) = (None, f64::MAX, seen.span());
+        Advice { reading, callers, longest_pause: pauses, chance, said, load, least, keep, seen }
+    }
+
+    /// Departure: where the mean caller comes back only after long, each req opens a connection, and those
+    /// left open fill the table: they are closed at once.
+    fn trim(&mut self, now: Time, age: Time) -> Option<Time> {
+        let idle = self.seen.span();
+        let back = self.seen.sums(now)[0] * RETURN_PART * idle / age.num().clamp(1.0, idle.max(1.0));
+        let keep = idle * if back < self.callers { LEAST_IDLE } else { 1.0 };
+        (keep != std::mem::replace(&mut self.keep, keep)).then_some(Time(keep as i64))
     }
 }
 
@@ -313,7 +301,8 @@
     memory: Memory,
     calls: Calls,
     keys: BTreeMap<ReqId, Time>, // entries that tell repeats of uniqued reqs, and their ends
-    drain: Drain,
+    grace: Time,                 // after the notice to leave, in which arrivals may still run
+    left: Option<(Time, Time)>,  // notice, stop
     advice: Advice,
 }
 
@@ -340,10 +329,10 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         resolution: Time, hold: Hold, pool: Pool, limits: Threshold, costs: Costs, memory: Memory,
-        calls: Calls, drain: Drain, advice: Advice,
+        calls: Calls, grace: Time, advice: Advice,
     ) -> Self {
         let (beat, reqs, keys) = (Beat::new(resolution), BTreeMap::new(), BTreeMap::new());
-        Decider { beat, reqs, hold, pool, limits, costs, memory, calls, keys, drain, advice }
+        Decider { beat, reqs, hold, pool, limits, costs, memory, calls, keys, grace, left: None, advice }
     }
 
     pub fn arrival(&mut self, now: Time, new: Arrival) -> Results {
@@ -353,6 +342,7 @@
         let req = Req::new(new, now, base, &handler);
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
+        self.advice.seen.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.lay.num(), 0.0]);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.lay.num());
         let end = req.arrived + handler.window;
@@ -427,7 +417,7 @@
     pub fn leaving(&mut self, now: Time, left: Time) -> Results {
         let mut out = self.pass(now);
         out.health = Some(false);
-        self.drain.left = Some((now, now + left.times(STOP_PART) - self.beat.resolution));
+        self.left = Some((now, now + left.times(STOP_PART) - self.beat.resolution));
         self.settle(now, out)
     }
 
@@ -435,6 +425,7 @@
         let mut out = self.pass(now);
         self.beat.woken = self.beat.woken.filter(|at| *at > now);
         out.health = (self.beat.next_look == Time(i64::MIN)).then_some(true);
+        out.trim = self.advice.trim(now, now - self.pool.born);
         if now >= self.beat.next_look {
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
@@ -476,7 +467,7 @@
     }
 
     fn due_at(&self, req: &Req) -> Time {
-        self.drain.left.map_or(req.due, |(_, stop)| req.due.min(stop))
+        self.left.map_or(req.due, |(_, stop)| req.due.min(stop))
     }
 
     /// Work in hand, as time that all cores need for it.
@@ -571,7 +562,7 @@
     fn advise(&mut self, now: Time, out: &mut Results) {
         let wanted =
             (1.0 - self.pressure(self.burden(now))).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
-        let wanted = if self.drain.left.is_some() { 0.0 } else { wanted };
+        let wanted = if self.left.is_some() { 0.0 } else { wanted };
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
@@ -609,7 +600,7 @@
         out.release.extend(self.keys.remove(&id).map(|_| id));
         self.advice.load.add(now, 3, 1.0);
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
-        let leaving = self.drain.left.is_some();
+        let leaving = self.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
         // Where no share can be advised, the time in which one req of each caller is taken: a server that
         // refuses quickly looks free, and draws ever more. Else only past a full burden, and not all alike.
@@ -690,18 +681,18 @@
 
     /// Held and running reqs and keys stay within the memory: the last in the order goes first.
     fn swelling_hold(&self, now: Time) -> Option<ReqId> {
-        let over = self.memory_used() > self.memory.limit;
+        let over = self.memory_used() > self.memory.limit * GUARD_PART;
         self.order(now).iter().rfind(|_| over).map(|r| r.new.id)
     }
 
     fn swelling_runs(&self, _: Time) -> Option<ReqId> {
         let joined = || self.reqs.values().find(|r| r.phase == Phase::Joined).map(|r| r.new.id);
-        self.youngest().or_else(joined).filter(|_| self.memory_used() > self.memory.limit)
+        self.youngest().or_else(joined).filter(|_| self.memory_used() > self.memory.limit * GUARD_PART)
     }
 
     /// After the notice to leave: what came past the grace does not run.
     fn too_late_to_run(&self, _: Time) -> Option<ReqId> {
-        let last = self.drain.left?.0 + self.drain.grace - self.beat.resolution;
+        let last = self.left?.0 + self.grace - self.beat.resolution;
         self.held().find(|r| r.arrived > last).map(|r| r.new.id)
     }
 
@@ -736,7 +727,7 @@
         let open = self.queued() <= 1.0
             && on_core + 1.0 <= self.open_size(now)
             && running + 1.0 <= self.pool.ceiling(now);
-        let room = self.memory.limit - self.memory_used();
+        let room = self.memory.limit * GUARD_PART - self.memory_used();
         let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
     }
@@ -751,12 +742,8 @@
     fn next_to_call(&self, now: Time) -> Option<ReqId> {
         let in_hand = self.reqs.values().filter(|r| r.phase == Phase::Calling).count();
         let rested = |r: &&Req| (now - r.since).num() >= self.calls.usual * r.tries as f64;
-        let next = self
-            .running()
-            .filter(|r| r.live(Phase::Wanting))
-            .filter(rested)
-            .min_by_key(|r| (r.arrived, r.new.id))
-            .map(|r| r.new.id);
+        let wanting = self.running().filter(|r| r.live(Phase::Wanting)).filter(rested);
+        let next = wanting.min_by_key(|r| (r.arrived, r.new.id)).map(|r| r.new.id);
         next.filter(|_| self.calls.open(now, in_hand))
     }
 }
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -135,6 +135,15 @@
     Unknown,
 }
 
+/// The memory that held and running reqs and keys share, in kilobytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Memory {
+    pub limit: f64,
+    /// What a run takes, in multiples of what its req takes while held.
+    pub blowup: f64,
+    pub per_key: f64,
+}
+
 /// What the server's own gauges read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
@@ -167,6 +176,8 @@
     pub skip: Vec<ReqId>,
     pub health: Option<bool>,
     pub advice: Option<f64>,
+    /// Connections that carried nothing for this long are closed.
+    pub trim: Option<Time>,
     pub wake: Option<Time>,
     /// Rules fired.
     pub passes: usize,
@@ -282,6 +293,13 @@
         live.fold([0.0; K], |sums, turn| std::array::from_fn(|k| sums[k] + self.slots[Self::slot(turn)][k]))
     }
 
+    /// The first place up to which a part of the sums' total lies.
+    pub fn quantile(&self, now: Time, part: f64) -> Option<usize> {
+        let sums = self.sums(now);
+        let all = sums.iter().sum::<f64>();
+        (0..K).find(|k| all > 0.0 && sums[..=*k].iter().sum::<f64>() >= part * all)
+    }
+
     pub fn add_all(&mut self, now: Time, amounts: [f64; K]) {
         amounts.into_iter().enumerate().for_each(|(k, amount)| self.add(now, k, amount));
     }
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -175,3 +175,19 @@
     }
     assert!(world.caps.iter().all(|cap| *cap >= TARGET.times(0.5)), "{:?}", world.caps);
 }
+
+#[test]
+fn connections_of_callers_that_seldom_return_are_closed_at_once() {
+    // With a thousand callers the table stood full of idle connections and most attempts found none.
+    for (callers, idle) in [(4.0, IDLE), (1000.0, Time(400))] {
+        let mut world = World::new(Set { callers, ..PLAIN });
+        for _ in 0..40 {
+            let id = world.arrive(0, Time(0), TIMEOUT, None);
+            world.pass(Time(500));
+            if world.reqs[&id].state == State::OnCore {
+                world.end(id, RunEnd::Done);
+            }
+        }
+        assert_eq!(world.trim, idle, "{callers} callers");
+    }
+}
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -37,6 +37,7 @@
     pub share: Option<f64>,
     pub skip: f64,
     pub limit_kb: f64,
+    pub callers: f64,
 }
 
 pub const PLAIN: Set = Set {
@@ -47,6 +48,7 @@
     share: None,
     skip: 0.0,
     limit_kb: 1e6,
+    callers: 4.0,
 };
 pub const CORES: usize = 2;
 pub const FACTOR: f64 = 4.0;
@@ -58,6 +60,7 @@
 pub const PER_KEY: f64 = 5.0;
 pub const TARGET: Time = Time(10_000);
 pub const TIMEOUT: Time = Time(30_000);
+pub const IDLE: Time = Time(80_000);
 
 pub struct World {
     pub now: Time,
@@ -72,6 +75,7 @@
     pub most_passes: usize,
     pub advice: f64,
     pub caps: Vec<Time>,
+    pub trim: Time,
     next: u32,
 }
 
@@ -100,13 +104,14 @@
             Pool::new(now, CORES, FACTOR, first, WARM),
             Threshold::new(TARGET, set.halting, &handlers),
             Costs::new(now, &handlers, first),
-            Memory::new(set.limit_kb, BLOWUP, PER_KEY),
+            Memory { limit: set.limit_kb, blowup: BLOWUP, per_key: PER_KEY },
             Calls::new(set.share, TARGET, Time(2000), CORES),
-            Drain::new(GRACE),
-            Advice::new(set.reading, 4.0, TARGET, TARGET, 7),
+            GRACE,
+            Advice::new(set.reading, set.callers, TARGET, TARGET, IDLE, 7),
         );
         let (reqs, keys, wakes, shed) = (BTreeMap::new(), BTreeMap::new(), vec![], vec![]);
         let (left, frozen, most_passes, advice, caps, next) = (None, false, 0, 1.0, vec![], 1);
+        let trim = IDLE;
         let mut world = World {
             now,
             set,
@@ -120,6 +125,7 @@
             most_passes,
             advice,
             caps,
+            trim,
             next,
         };
         world.wake(0.0);
@@ -293,6 +299,7 @@
             noted.state = State::OnCore;
         }
         self.advice = results.advice.unwrap_or(self.advice);
+        self.trim = results.trim.unwrap_or(self.trim);
         self.wakes.extend(results.wake.map(|span| self.now + span));
         self.check();
         for id in ended {
