Let a stall outweigh four usual runs before it raises every estimate

Cause: the strain, the mean of what running reqs have had over what they usually need, was taken over as few as two runs. Change: four usual runs are counted beside those that run.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -32,6 +32,7 @@
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SKIP_PART: f64 = 0.25; // of the time left to its target, how long a req waits to call before it skips
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
+const DOUBT: f64 = 4.0; // usual runs that the running ones must outweigh to show it
 const TRIES: u32 = 3; // calls made for one need
 const STOP_PART: f64 = 0.95; // of the time left after the notice to leave, by which all is answered
 const ADVICE_STEP: f64 = 0.02; // least relative change of the advice that is said
@@ -538,7 +539,7 @@
         // Runs that have long passed their cost show a server slower than it was, before any of them ends.
         let over = |r: &Req| self.costs.spent(r) / self.costs.usual(r).max(1.0);
         let runs: f64 = self.running().filter(|r| r.phase == Phase::OnCore).map(over).sum();
-        self.costs.strain = (runs / (on_core as f64).max(self.pool.cores * 0.5)).max(1.0);
+        self.costs.strain = ((runs + DOUBT) / (on_core as f64 + DOUBT)).max(1.0);
         Results::default()
     }
 
