Count a customer's excess from what was done, once its share is full

Cause: each req of a customer over its share carried the share's part of its customer's traffic, as if the excess were drawn by lot. What is served inside a share fills it, so only what comes after is worth little; and a customer whose excess was shed looked worst served and was lifted. Shares at the start of a life were held against a whole span of arrivals, so no excess was seen for its first seconds. Change: a customer's reqs are worth the full until what was done here fills its share for the time lived; then the little. The worst-served customer is found among what was asked inside shares. May hurt where the fleet grows: shares here are those of the fleet at the start.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -52,8 +52,8 @@
     over_share: f64,
     by_work: bool,
     weights: [f64; 3],         // whole, worst handler, worst customer
-    by_handler: Vec<Sums<3>>,  // asked, won, count
-    by_customer: Vec<Sums<3>>, // the same
+    by_handler: Vec<Sums<4>>,  // asked, won, count, done
+    by_customer: Vec<Sums<4>>, // the same
 }
 
 impl Hold {
@@ -76,35 +76,44 @@
         let of_customer = req.new.customer.and_then(|c| self.by_customer.get_mut(c.0));
         for ring in of_customer.into_iter().chain([&mut self.by_handler[req.handler()]]) {
             ring.add(now, won, worth);
-            ring.add(now, 2, (1 - won) as f64);
+            ring.add(now, 2 + won, 1.0);
         }
     }
 
     /// The worst-served counts for the goal by itself: a unit of its value weighs as much more as its part
     /// of all is small.
-    fn scarcity(now: Time, weight: f64, rings: &[Sums<3>]) -> Vec<f64> {
-        let sums: Vec<[f64; 3]> = rings.iter().map(|r| r.sums(now)).collect();
+    fn scarcity(weight: f64, sums: &[[f64; 2]]) -> Vec<f64> {
         let all: f64 = sums.iter().map(|s| s[0]).sum();
-        let served = |s: &[f64; 3]| if s[0] > 0.0 { s[1] / s[0] } else { 1.0 };
+        let served = |s: &[f64; 2]| if s[0] > 0.0 { s[1] / s[0] } else { 1.0 };
         let worst = sums.iter().map(served).fold(1.0, f64::min);
-        let extra = |s: &[f64; 3]| if s[0] > 0.0 && served(s) <= worst { weight * all / s[0] } else { 0.0 };
+        let extra = |s: &[f64; 2]| if s[0] > 0.0 && served(s) <= worst { weight * all / s[0] } else { 0.0 };
         sums.iter().map(extra).collect()
     }
 
     /// The gain to the goal from a unit of each handler's and each customer's value. No req says whether it
-    /// is in its customer's excess, which is worth little: each carries its part.
-    fn gains(&self, now: Time) -> (Vec<f64>, Vec<f64>) {
+    /// is in its customer's excess, which is worth little: what is done fills the share first.
+    fn gains(&self, now: Time, age: Time) -> (Vec<f64>, Vec<f64>) {
         let [whole, handler, customer] = self.weights;
-        let handlers = Self::scarcity(now, handler, &self.by_handler).iter().map(|e| whole + e).collect();
-        let over = self.by_customer.iter().zip(&self.quotas).map(|(r, quota)| r.sums(now)[2] / quota);
-        let over: Vec<f64> = over.collect();
+        let sums = |rings: &[Sums<4>]| rings.iter().map(|r| r.sums(now)).collect::<Vec<_>>();
+        let of_handlers: Vec<_> = sums(&self.by_handler).iter().map(|s| [s[0], s[1]]).collect();
+        let handlers = Self::scarcity(handler, &of_handlers).iter().map(|e| whole + e).collect();
+        let lived = age.num() / self.by_customer.first().map_or(1.0, |r| r.span());
+        let quotas = self.quotas.iter().map(|q| (q * lived.min(1.0)).max(1.0));
+        let counts: Vec<_> = sums(&self.by_customer).into_iter().zip(quotas).collect();
         // A smaller fleet or retries swell all counts alike: a share is measured against the middle customer.
-        let mut sorted = over.clone();
-        sorted.sort_by(f64::total_cmp);
-        let middle = sorted.get(sorted.len() / 2).map_or(1.0, |m| m.max(1.0));
-        let share = |over: &f64| self.over_share + (1.0 - self.over_share) * middle / over.max(middle);
-        let customers = Self::scarcity(now, customer, &self.by_customer).into_iter().zip(&over);
-        (handlers, customers.map(|(extra, over)| share(over) * (whole + extra)).collect())
+        let mut over: Vec<f64> = counts.iter().map(|(s, quota)| s[2] / quota).collect();
+        over.sort_by(f64::total_cmp);
+        let middle = over.get(over.len() / 2).map_or(1.0, |m| m.max(1.0));
+        let inside = counts.iter().map(|(s, quota)| [s[0] * (middle * quota / s[2].max(1.0)).min(1.0), s[1]]);
+        let extras = Self::scarcity(customer, &inside.collect::<Vec<_>>());
+        let gain = |((s, quota), extra): (&([f64; 4], f64), f64)| {
+            if s[3] < quota * middle {
+                whole + extra
+            } else {
+                self.over_share * whole
+            }
+        };
+        (handlers, counts.iter().zip(extras).map(gain).collect())
     }
 }
 
@@ -513,7 +522,7 @@
     /// Held reqs, first to start first. Oldest first, until the pressure shows that not all can be won:
     /// then by what a unit of work still wins.
     fn order(&self, now: Time) -> Vec<&Req> {
-        let (handlers, customers) = self.hold.gains(now);
+        let (handlers, customers) = self.hold.gains(now, now - self.pool.born);
         let pressed = f64::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0);
         let rank = |req: &Req| {
             let handler = &self.hold.handlers[req.handler()];
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -191,3 +191,22 @@
         assert_eq!(world.trim, idle, "{callers} callers");
     }
 }
+
+#[test]
+fn a_customer_whose_share_is_filled_gives_way() {
+    // One customer sent three times its share, and as many of the others' reqs were shed as of its excess.
+    let mut world = World::new(Set { told: true, ..PLAIN });
+    world.customer = Some(0);
+    for _ in 0..30 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.pass(Time(400));
+        world.end(id, RunEnd::Done);
+    }
+    arrive(&mut world, 12, Time(0));
+    world.customer = Some(1);
+    let other = world.arrive(0, Time(0), TIMEOUT, None);
+    assert_eq!(world.reqs[&other].state, State::Held);
+    let first = world.ids(State::OnCore)[0];
+    world.end(first, RunEnd::Done);
+    assert_eq!(world.reqs[&other].state, State::OnCore);
+}
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -76,6 +76,8 @@
     pub advice: f64,
     pub caps: Vec<Time>,
     pub trim: Time,
+    /// Whose reqs arrive; else each customer's in turn.
+    pub customer: Option<usize>,
     next: u32,
 }
 
@@ -100,7 +102,7 @@
         let first = if set.cold { FIRST } else { 1.0 };
         let decider = Decider::new(
             Time(20),
-            Hold::new(&handlers, &[50.0, 50.0], 10.0, 0.1, false, [0.6, 0.2, 0.2]),
+            Hold::new(&handlers, &[50.0, 50.0, 50.0], 10.0, 0.1, false, [0.6, 0.2, 0.2]),
             Pool::new(now, CORES, FACTOR, first, WARM),
             Threshold::new(TARGET, set.halting, &handlers),
             Costs::new(now, &handlers, first),
@@ -126,6 +128,7 @@
             advice,
             caps,
             trim,
+            customer: None,
             next,
         };
         world.wake(0.0);
@@ -150,7 +153,7 @@
         let noted = Noted { arrived, due, kind, kb: 10.0, mark, state, answered, ran, calls_unknown: false };
         self.reqs.insert(id, noted);
         let place = kinds.iter().position(|k| *k == kind).unwrap_or(0);
-        let customer = Some(CustomerId(id.0 as usize % 3));
+        let customer = Some(CustomerId(self.customer.unwrap_or(id.0 as usize % 4)));
         let (hint, retry) = (None, id.0.is_multiple_of(5));
         let handler = HandlerId(place);
         let new = Arrival { id, handler, customer, hint, retry, repeats, kb: 10.0, lay, wait };
