--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -196,12 +196,13 @@
 fn a_customer_whose_share_is_filled_gives_way() {
     // One customer sent three times its share, and as many of the others' reqs were shed as of its excess.
     let mut world = World::new(Set { told: true, ..PLAIN });
-    world.customer = Some(0);
-    for _ in 0..30 {
+    for n in 0..33 {
+        world.customer = Some(usize::from(n % 11 == 0));
         let id = world.arrive(0, Time(0), TIMEOUT, None);
         world.pass(Time(400));
         world.end(id, RunEnd::Done);
     }
+    world.customer = Some(0);
     arrive(&mut world, 12, Time(0));
     world.customer = Some(1);
     let other = world.arrive(0, Time(0), TIMEOUT, None);
