Leave time for the rest of a req when its call can be skipped

Change: such a call ends while the rest of the req still fits. Kept for its symptom, a dependency slow now and then; may hurt where calls are usually slow and the skipped part is worth little.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -646,18 +646,20 @@
     /// A call that may be made again is given up early: the next may reach another machine where this one
     /// hangs, is slow or cut off. One that can be skipped is while calls are backed off.
     fn call(&mut self, now: Time, id: ReqId, out: &mut Results) {
-        let due = self.reqs.get(&id).map_or(now, |r| self.due_at(r));
+        let Some(req) = self.reqs.get(&id) else { return };
+        let (due, handler) = (self.due_at(req), &self.hold.handlers[req.handler()]);
+        // One that can be skipped leaves time for the rest of its req.
+        let rest = if handler.skip_value > 0.0 { Time(self.costs.left(req) as i64) } else { Time(0) };
+        let ends = [req.target - rest, req.target];
+        let left = ends.into_iter().find(|end| *end > now).unwrap_or(due).min(due) - now;
+        let again = handler.kind == Kind::Replayable && self.calls.share.is_none() && req.tries + 1 < TRIES;
+        let backed_off = handler.skip_value > 0.0 && self.calls.limit < self.calls.cores;
+        let early = (again || backed_off) && self.calls.usual > 0.0;
+        let patience = if early { Time((self.calls.usual * PATIENCE) as i64) } else { left };
+        out.call.push((id, left.min(patience).max(self.beat.resolution)));
         if let Some(req) = self.reqs.get_mut(&id) {
-            let handler = &self.hold.handlers[req.handler()];
-            let left = if now < req.target { req.target.min(due) - now } else { due - now };
-            let again =
-                handler.kind == Kind::Replayable && self.calls.share.is_none() && req.tries + 1 < TRIES;
-            let backed_off = handler.skip_value > 0.0 && self.calls.limit < self.calls.cores;
-            let early = (again || backed_off) && self.calls.usual > 0.0;
-            let patience = if early { Time((self.calls.usual * PATIENCE) as i64) } else { left };
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
-            out.call.push((id, left.min(patience).max(self.beat.resolution)));
         }
     }
 
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -211,3 +211,14 @@
     world.end(first, RunEnd::Done);
     assert_eq!(world.reqs[&other].state, State::OnCore);
 }
+
+#[test]
+fn a_call_that_can_be_skipped_leaves_time_for_the_rest_of_its_req() {
+    // A slow call was given up at the response target, and the answer without it came late.
+    for (skip, leaves) in [(0.5, true), (0.0, false)] {
+        let mut world = World::new(Set { share: Some(3.0), skip, ..PLAIN });
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.want_call(id);
+        assert_eq!(world.caps[0] < TARGET, leaves, "{:?}", world.caps);
+    }
+}
