Let advice fall with the work in hand, dear reading or not

One rule less; the pause without advice still heeds it. It may hurt where callers that find all advised low turn reqs away by themselves.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -492,15 +492,9 @@
         lay / arrivals.max(1.0)
     }
 
-    /// What callers can take off this server. They turn away blindly, so the work in hand counts in the
-    /// measure in which reading, which that saves, uses the cores.
+    /// What callers can take off this server.
     fn burden(&self, now: Time) -> f64 {
-        self.in_hand() * self.dear(now) / UNREAD + self.unread(now) * UNREAD
-    }
-
-    fn dear(&self, now: Time) -> f64 {
-        let reading = self.advice.load.sums(now)[0] * self.advice.least / self.advice.load.span();
-        (reading / (DEAR * self.pool.cores)).min(1.0)
+        self.in_hand() / UNREAD + self.unread(now) * UNREAD
     }
 
     /// Part of the way from calm to full.
@@ -615,9 +609,10 @@
         // Where no share can be advised, the time in which one req of each caller is taken: a server that
         // refuses quickly looks free, and draws ever more. Else only past a full burden, and not all alike.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
+        let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
         let spread = self.advice.reading == Reading::Unused;
-        let wait = if spread { turn * self.dear(now) } else { over * self.advice.chance.draw() };
+        let wait = if spread { turn * dear.min(1.0) } else { over * self.advice.chance.draw() };
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
