Do not stop a run past the threshold while it can be done in time

Cause: under loss the threshold falls to a floor learned from earlier run times. Change: a run past the threshold is stopped once it is predicted to miss its response target. Also holds wherever the floor was learned in better times. It may hurt where many long runs crowd out short ones that would all be done.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -669,13 +669,14 @@
         self.held().find(due).map(|r| r.new.id)
     }
 
-    /// SERT: a replayable run past the threshold is stopped for good.
+    /// SERT: a replayable run past the threshold is stopped for good, but not while it can be done in time.
     fn overdue(&self, now: Time) -> Option<ReqId> {
         let [arrived, refused, stopped] = self.limits.loss.sums(now);
         let loss = if arrived > 0.0 { (refused + stopped) / arrived } else { 0.0 };
         let overdue = |r: &&Req| {
             let upper = self.due_at(r) - r.started;
-            now - r.started > threshold(self.limits.floor(now, r.handler()).min(upper), upper, loss)
+            let lost = now.num() + self.costs.left(r) > r.target.num();
+            lost && now - r.started > threshold(self.limits.floor(now, r.handler()).min(upper), upper, loss)
         };
         let live = self.running().filter(|r| !r.answered && r.phase != Phase::Calling);
         live.filter(|r| self.stoppable(r.new.id)).find(overdue).map(|r| r.new.id)
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -222,3 +222,23 @@
         assert_eq!(world.caps[0] < TARGET, leaves, "{:?}", world.caps);
     }
 }
+
+#[test]
+fn a_run_that_can_be_done_in_time_is_not_stopped_under_loss() {
+    // While much was refused, four of five stopped runs were stopped before their response target.
+    let mut world = World::new(PLAIN);
+    for _ in 0..20 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.pass(Time(500));
+        world.end(id, RunEnd::Done);
+    }
+    let id = world.arrive(0, Time(0), TIMEOUT, None);
+    for _ in 0..60 {
+        world.arrive(0, Time(9000), TIMEOUT, None);
+        world.pass(Time(150));
+    }
+    assert!(world.shed.len() > 20);
+    assert_eq!(world.reqs[&id].state, State::OnCore);
+    world.pass(TARGET.times(0.5));
+    assert!(world.reqs[&id].answered);
+}
