Stop no run by the threshold before its response target

The prediction in the rule before it is dropped: what a long run still needs is a guess. It may hurt where much cannot be done in time anyway, as in the scores' release.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -675,7 +675,7 @@
         let loss = if arrived > 0.0 { (refused + stopped) / arrived } else { 0.0 };
         let overdue = |r: &&Req| {
             let upper = self.due_at(r) - r.started;
-            let lost = now.num() + self.costs.left(r) > r.target.num();
+            let lost = now > r.target;
             lost && now - r.started > threshold(self.limits.floor(now, r.handler()).min(upper), upper, loss)
         };
         let live = self.running().filter(|r| !r.answered && r.phase != Phase::Calling);
