--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -242,3 +242,16 @@
     world.pass(TARGET.times(0.5));
     assert!(world.reqs[&id].answered);
 }
+
+#[test]
+fn a_req_that_can_skip_its_call_does_not_wait_long_for_it() {
+    // With a slow dependency each waited up to a quarter of its time and then came late without the call.
+    let mut world = World::new(Set { share: Some(3.0), skip: 0.5, ..PLAIN });
+    for _ in 0..3 {
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.want_call(id);
+    }
+    assert_eq!(world.count(State::Wanting), 1);
+    world.pass(TARGET.times(0.08));
+    assert_eq!((world.count(State::Wanting), world.count(State::OnCore)), (0, 1));
+}
