--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -296,7 +296,8 @@
     fn trim(&mut self, now: Time, age: Time) -> Option<Time> {
         let idle = self.seen.span();
         let back = self.seen.sums(now)[0] * RETURN_PART * idle / age.num().clamp(1.0, idle.max(1.0));
-        let keep = idle * if back < self.callers { LEAST_IDLE } else { 1.0 };
+        let seldom = back < self.callers && idle * LEAST_IDLE >= 1.0;
+        let keep = idle * if seldom { LEAST_IDLE } else { 1.0 };
         (keep != std::mem::replace(&mut self.keep, keep)).then_some(Time(keep as i64))
     }
 }
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -1,6 +1,6 @@
 //! Plain cases: boundary values, and one small case for each failure found.
 use crate::world::*;
-use cottondyke_decide::decide::threshold;
+use cottondyke_decide::decide::*;
 use cottondyke_decide::types::*;
 
 fn arrive(world: &mut World, count: usize, lay: Time) {
@@ -255,3 +255,41 @@
     world.pass(TARGET.times(0.08));
     assert_eq!((world.count(State::Wanting), world.count(State::OnCore)), (0, 1));
 }
+
+#[test]
+fn settings_of_any_scale_are_taken() {
+    // None told, one of each, and far more than any fleet: every req is answered and every figure finite.
+    let one = [handler(Kind::Replayable, 0.5)];
+    let (none, late) = (Time(0), Time(0) + TIMEOUT);
+    for scale in [0.0, 1.0, 1e9] {
+        for reading in [Reading::Share, Reading::Credit, Reading::Rank, Reading::Unused] {
+            let span = Time(scale as i64);
+            let mut decider = Decider::new(
+                Time(1),
+                Hold::new(&one, &[scale, scale], scale, 0.1, true, [0.0, scale, scale]),
+                Pool::new(none, scale.min(1e3) as usize, scale, scale.min(1.0), span),
+                Threshold::new(span, Halting::Drop, &one),
+                Costs::new(none, &one, scale.min(1.0)),
+                Memory { limit: scale, blowup: scale, per_key: scale },
+                Calls::new(Some(scale), span, span, scale.min(1e3) as usize),
+                span,
+                Advice::new(reading, scale, span, span, span, u64::MAX),
+            );
+            let mut all = vec![decider.wake(none, Gauges::default())];
+            for id in 0..40 {
+                let (id, customer) = (ReqId(id), Some(CustomerId(id as usize % 3)));
+                let (hint, retry, repeats) = (Some(span), id.0 % 2 == 0, None);
+                let (handler, kb, lay, wait) = (HandlerId(0), scale, span, Some(span));
+                let new = Arrival { id, handler, customer, hint, retry, repeats, kb, lay, wait };
+                all.push(decider.arrival(Time(id.0 as i64 * 5), new));
+                all.push(decider.call_wanted(Time(id.0 as i64 * 5), id));
+            }
+            for at in [late, late + span, late + span + TIMEOUT] {
+                all.push(decider.wake(at, Gauges { busy: Some(scale) }));
+            }
+            let answers = all.iter().map(|r| r.shed.len() + r.fail.len()).sum::<usize>();
+            assert_eq!(answers, 40, "scale {scale}, {reading:?}");
+            assert!(all.iter().filter_map(|r| r.advice).all(|level| level.is_finite() && level >= 0.0));
+        }
+    }
+}
