Let the pool grow only after it was full for longer than the gauge looks back

Cause: the gauge of the cores reads the last half second. On two cores a rush on an idle server met a low gauge and grew the pool past the number from which runs slow each other (shop and returns run no disk waits). Change: it grows once all of it has run, with reqs waiting, for 0.3 of the shortest response target. It may hurt in the first second of a rush on servers with long disk waits.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -17,6 +17,7 @@
 const TICK_PART: f64 = 0.06; // time between looks at the gauges, part of the shortest response target
 const FULL_USE: f64 = 0.95; // use of the cores under which the pool grows and over which it shrinks
 const POOL_STEP: f64 = 0.2; // of a run, by which it does
+const LOOK_BACK: f64 = 0.3; // time that a full pool must leave cores idle to grow, part of the shortest target
 const FREE_BUSY: f64 = 0.8; // part of the cores in use under which every req is taken
 const MARGIN: f64 = 0.8; // part of its response target by which a newcomer must be predicted to finish
 const CALM: f64 = 0.15; // work in hand a core under which all is well, part of the shortest response target
@@ -80,8 +81,7 @@
         }
     }
 
-    /// The worst-served counts for the goal by itself: a unit of its value weighs as much more as its part
-    /// of all is small.
+    /// The worst-served counts by itself: a unit of its value weighs more, the smaller its part of all.
     fn scarcity(weight: f64, sums: &[[f64; 2]]) -> Vec<f64> {
         let all: f64 = sums.iter().map(|s| s[0]).sum();
         let served = |s: &[f64; 2]| if s[0] > 0.0 { s[1] / s[0] } else { 1.0 };
@@ -125,15 +125,16 @@
     warm: Time, // when it is warm at the latest
     born: Time,
     size: f64,
-    busy: f64, // part of the cores in use
+    busy: f64,    // part of the cores in use
+    filled: Time, // since when all of it runs and reqs wait
 }
 
 impl Pool {
-    /// `factor`: reqs a core that a warm server survives; a cold one starts at `first` of its speed and is
-    /// warm after `warm`.
+    /// `factor`: reqs a core that a warm server survives; a cold one has `first` of its speed till `warm`.
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
-        Pool { cores, factor, first, warm, born: now, size: cores, busy: 0.0 }
+        let (size, busy) = (cores, 0.0);
+        Pool { cores, factor, first, warm, born: now, size, busy, filled: now }
     }
 
     /// The part of its full speed that a cold server has surely reached.
@@ -146,10 +147,12 @@
         self.cores * (1.0 + (self.factor - 1.0) * self.warmth(now)) * CROWD_PART
     }
 
-    /// More reqs on the cores than keep them busy only slow each other: the pool is the smallest that does.
-    fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize) {
+    /// The pool is the smallest that keeps the cores busy: more only slow each other. It grows after it was
+    /// full for longer than the gauge looks back: idle cores then show waits on disk, not runs just started.
+    fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize, target: Time) {
         self.busy = busy.unwrap_or(on_core as f64 / self.cores);
-        let grow = if waiting && on_core as f64 >= self.size - 1.0 { POOL_STEP } else { 0.0 };
+        self.filled = if waiting && on_core as f64 > self.size - 1.0 { self.filled } else { now };
+        let grow = if now - self.filled >= target.times(LOOK_BACK) { POOL_STEP } else { 0.0 };
         let step = if self.busy > FULL_USE { -POOL_STEP } else { grow };
         self.size = (self.size + step).min(self.ceiling(now)).max(self.cores);
     }
@@ -440,7 +443,7 @@
         if now >= self.beat.next_look {
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
-            self.pool.learn(now, gauges.busy, waiting, on_core);
+            self.pool.learn(now, gauges.busy, waiting, on_core, self.hold.shortest);
             // Frozen cores let a stop pass without effect: it is asked for again.
             let again = self.running().filter(|r| r.answered && r.phase == Phase::OnCore).map(|r| r.new.id);
             out.stop = again.filter(|id| self.stoppable(*id)).collect();
@@ -514,8 +517,7 @@
         self.running().filter(|r| r.live(Phase::Wanting)).count() as f64 / self.calls.limit
     }
 
-    /// Held reqs, first to start first. Oldest first, until the pressure shows that not all can be won:
-    /// then by what a unit of work still wins.
+    /// Held reqs, first to start first: the oldest, or where not all can be won, what wins most by work.
     fn order(&self, now: Time) -> Vec<&Req> {
         let (handlers, customers) = self.hold.gains(now, now - self.pool.born);
         let pressed = f64::from(self.pressure(self.in_hand() + self.unread(now)) > 0.0);
@@ -565,9 +567,8 @@
     }
 
     fn advise(&mut self, now: Time, out: &mut Results) {
-        let wanted =
-            (1.0 - self.pressure(self.burden(now))).clamp(LEAST_ADVICE, 1.0).min(self.pool.warmth(now));
-        let wanted = if self.left.is_some() { 0.0 } else { wanted };
+        let calm = (1.0 - self.pressure(self.burden(now))).clamp(LEAST_ADVICE, 1.0);
+        let wanted = if self.left.is_some() { 0.0 } else { calm.min(self.pool.warmth(now)) };
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
@@ -580,8 +581,6 @@
         }
     }
 
-    // The effects.
-
     fn give_up(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let Some(req) = self.reqs.get_mut(&id).filter(|r| !r.answered) else { return };
         out.fail.push(id);
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -293,3 +293,18 @@
         }
     }
 }
+
+#[test]
+fn the_pool_grows_where_runs_wait_on_disk_and_not_at_a_late_gauge() {
+    // The gauge looks back, so a rush on idle cores grew the pool past the runs that slow each other.
+    for (looks, more) in [(7, false), (40, true)] {
+        let mut world = World::new(PLAIN);
+        arrive(&mut world, 6, Time(0));
+        for _ in 0..looks {
+            world.pass(Time(1));
+            world.now = world.now + TARGET.times(0.06);
+            world.wake(0.5);
+        }
+        assert_eq!(world.count(State::OnCore) > CORES, more, "after {looks} looks");
+    }
+}
