--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -302,7 +302,7 @@
         arrive(&mut world, 6, Time(0));
         for _ in 0..looks {
             world.pass(Time(1));
-            world.now = world.now + TARGET.times(0.06);
+            world.now += TARGET.times(0.06);
             world.wake(0.5);
         }
         assert_eq!(world.count(State::OnCore) > CORES, more, "after {looks} looks");
