--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -130,7 +130,7 @@
 }
 
 impl Pool {
-    /// `factor`: reqs a core that a warm server survives; a cold one has `first` of its speed till `warm`.
+    /// `factor`: reqs a core that a warm server survives; a cold one rises from `first` of its speed for `warm`.
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
         let (size, busy) = (cores, 0.0);
@@ -294,8 +294,8 @@
         Advice { reading, callers, longest_pause: pauses, chance, said, load, least, keep, seen }
     }
 
-    /// Departure: where the mean caller comes back only after long, each req opens a connection, and those
-    /// left open fill the table: they are closed at once.
+    /// Departure: where the mean caller comes back only after long, connections left open fill the table and are
+    /// closed at once. It holds for any front of many small callers; it may hurt where opening one is dear.
     fn trim(&mut self, now: Time, age: Time) -> Option<Time> {
         let idle = self.seen.span();
         let back = self.seen.sums(now)[0] * RETURN_PART * idle / age.num().clamp(1.0, idle.max(1.0));
