--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -17,7 +17,7 @@
 const TICK_PART: f64 = 0.06; // time between looks at the gauges, part of the shortest response target
 const FULL_USE: f64 = 0.95; // use of the cores under which the pool grows and over which it shrinks
 const POOL_STEP: f64 = 0.2; // of a run, by which it does
-const LOOK_BACK: f64 = 0.3; // time that a full pool must leave cores idle to grow, part of the shortest target
+const LOOK_BACK: f64 = 0.3; // time that a full pool leaves cores idle before it grows, part of a target
 const FREE_BUSY: f64 = 0.8; // part of the cores in use under which every req is taken
 const MARGIN: f64 = 0.8; // part of its response target by which a newcomer must be predicted to finish
 const CALM: f64 = 0.15; // work in hand a core under which all is well, part of the shortest response target
@@ -130,7 +130,7 @@
 }
 
 impl Pool {
-    /// `factor`: reqs a core that a warm server survives; a cold one rises from `first` of its speed for `warm`.
+    /// `factor`: reqs a core that a warm server survives; a cold one starts at `first` of its speed.
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
         let (size, busy) = (cores, 0.0);
@@ -294,8 +294,8 @@
         Advice { reading, callers, longest_pause: pauses, chance, said, load, least, keep, seen }
     }
 
-    /// Departure: where the mean caller comes back only after long, connections left open fill the table and are
-    /// closed at once. It holds for any front of many small callers; it may hurt where opening one is dear.
+    /// Departure: where the mean caller comes back only after long, connections left open fill the table and
+    /// are closed at once. Holds for any front of many small callers; may hurt where opening one is dear.
     fn trim(&mut self, now: Time, age: Time) -> Option<Time> {
         let idle = self.seen.span();
         let back = self.seen.sums(now)[0] * RETURN_PART * idle / age.num().clamp(1.0, idle.max(1.0));
