--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -1,7 +1,6 @@
 //! From the wire's values to the decider's.
-use crate::settings::Places;
-use crate::Wrong;
 use cottondyke_decide::types::*;
+use cottondyke_settings::{maybe_number, number, present, text, whole, Places, Wrong};
 use serde_json::Value;
 
 /// Whole tenths, rounded down: no due time is lengthened.
@@ -9,32 +8,6 @@
     Time((ms * 10.0).floor().clamp(-1e15, 1e15) as i64)
 }
 
-fn present<'a>(of: &'a Value, key: &str) -> Option<&'a Value> {
-    of.get(key).filter(|v| !v.is_null())
-}
-
-pub fn text<'a>(of: &'a Value, key: &str) -> Result<&'a str, Wrong> {
-    of.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing or not a text"))
-}
-
-pub fn whole(of: &Value, key: &str) -> Result<u64, Wrong> {
-    of.get(key).and_then(Value::as_u64).ok_or_else(|| format!("{key} is missing or not a whole number"))
-}
-
-pub fn number(of: &Value, key: &str) -> Result<f64, Wrong> {
-    maybe_number(of, key)?.ok_or_else(|| format!("{key} is missing"))
-}
-
-pub fn maybe_number(of: &Value, key: &str) -> Result<Option<f64>, Wrong> {
-    let finite =
-        |v: &Value| v.as_f64().filter(|n| n.is_finite()).ok_or_else(|| format!("{key} is not a number"));
-    present(of, key).map(finite).transpose()
-}
-
-pub fn flag(of: &Value, key: &str) -> bool {
-    of.get(key).and_then(Value::as_bool).unwrap_or(false)
-}
-
 pub fn span(of: &Value, key: &str) -> Result<Time, Wrong> {
     Ok(tenths(number(of, key)?))
 }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,28 +2,24 @@
 //! and encodes what it returns. One decider for each instance, nothing shared, nothing decided here.
 mod decode;
 mod encode;
-mod settings;
 
-use crate::settings::Places;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::{Results, Time};
+use cottondyke_settings::{self as settings, Places, Wrong};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
 type Instances = BTreeMap<String, (Decider, Places)>;
 
-/// What is wrong with a line.
-pub type Wrong = String;
-
 fn event(instances: &mut Instances, now: Time, event: &Value) -> Result<Option<(String, Results)>, Wrong> {
-    let who = decode::text(event, "who")?;
-    let word = decode::text(event, "cmd")?;
+    let who = settings::text(event, "who")?;
+    let word = settings::text(event, "cmd")?;
     let results = match word {
         "Create" => {
             let conf =
                 event.get("conf").filter(|c| c.is_object()).ok_or("Create without its settings (conf)")?;
-            let mut decider = settings::decider(now, decode::whole(event, "salt")?, conf)?;
+            let mut decider = settings::decider(now, settings::whole(event, "salt")?, conf)?;
             let results = decider.wake(now, Default::default());
             instances.insert(who.to_string(), (decider, settings::places(conf)));
             results
@@ -37,7 +33,7 @@
             let (decider, places) =
                 running.ok_or_else(|| format!("{word} for {who}, which is not running"))?;
             match word {
-                "Incoming" => decider.arrival(now, decode::arrival(event, places.handlers)?),
+                "Incoming" => decider.arrival(now, decode::arrival(event, places.handlers.len())?),
                 "Ended" => decider.run_ended(now, decode::req(event)?, decode::run_end(event)?),
                 "NeedsDep" => decider.call_wanted(now, decode::req(event)?),
                 "CallResult" => decider.call_ended(now, decode::req(event)?, decode::call_end(event)?),
--- /dev/null
+++ b/crates/server/src/accept.rs
@@ -0,0 +1,67 @@
+//! Takes connections from sidecars, within the budget of descriptors.
+use crate::desk::{ConnId, Input};
+use crate::intake;
+use crate::wire::sidecar::Names;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_lock::Semaphore;
+use futures_lite::future;
+use futures_lite::FutureExt;
+use std::net::TcpListener;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Accepting rests this long when the system has no descriptor left.
+const REST: Duration = Duration::from_millis(50);
+
+/// Accepts until `close` ends. What waits to be accepted by then is still taken: the machine has accepted it.
+pub async fn listen(
+    executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>, most: usize, names: Rc<Names>,
+    desk: Sender<Input>, close: Receiver<()>,
+) {
+    let room = Arc::new(Semaphore::new(most));
+    let mut next = 0;
+    let closed = async {
+        let _ = close.recv().await;
+        None
+    };
+    futures_lite::pin!(closed);
+    loop {
+        if room.try_acquire().is_none() {
+            tracing::warn!(connections = most, "no room for further connections; accepting pauses");
+        }
+        let taken = async {
+            let place = room.acquire_arc().await;
+            Some((listener.accept().await, place))
+        };
+        let (accepted, place) = match taken.or(closed.as_mut()).await {
+            Some((accepted, place)) => (accepted, place),
+            None => match (future::poll_once(listener.accept()).await, room.try_acquire_arc()) {
+                (Some(accepted), Some(place)) => (accepted, place),
+                _ => return,
+            },
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (conn, names, desk) = (ConnId(next), names.clone(), desk.clone());
+                next += 1;
+                let task = async move {
+                    let serve = intake::serve(conn, stream, names, desk.clone());
+                    if AssertUnwindSafe(serve).catch_unwind().await.is_err() {
+                        tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
+                    }
+                    let _ = desk.send(Input::Closed(conn)).await;
+                    drop(place);
+                };
+                executor.spawn(task).detach();
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept; resting");
+                Timer::after(REST).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/answer.rs
@@ -0,0 +1,148 @@
+//! The way back to the sidecars: who is connected, what is said to them, and the writing of it.
+use crate::desk::ConnId;
+use crate::wire::sidecar::Reply;
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use cottondyke_decide::types::{Time, SECOND};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// A sidecar that takes nothing for this long is given up.
+const STUCK: Duration = Duration::from_secs(30);
+/// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms.
+const CROSSING: Time = SECOND;
+
+/// An encoded reply, and whether it settles a req.
+pub struct Parcel {
+    bytes: Vec<u8>,
+    settles: bool,
+}
+
+/// Writes what the desk hands over, until it hands over no more.
+pub async fn write(stream: &Async<TcpStream>, parcels: Receiver<Parcel>, open: &Cell<usize>) {
+    let mut bytes = Vec::new();
+    while let Ok(first) = parcels.recv().await {
+        let mut settled = 0;
+        bytes.clear();
+        for parcel in std::iter::once(first).chain(std::iter::from_fn(|| parcels.try_recv().ok())) {
+            bytes.extend_from_slice(&parcel.bytes);
+            settled += usize::from(parcel.settles);
+        }
+        let stuck = async {
+            Timer::after(STUCK).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        if (&mut &*stream).write_all(&bytes).or(stuck).await.is_err() {
+            return;
+        }
+        open.set(open.get().saturating_sub(settled));
+    }
+}
+
+struct Outlet {
+    parcels: Sender<Parcel>,
+    open: usize,
+    /// When it last carried something.
+    used: Time,
+    /// When the sidecar was told to send no more.
+    told: Option<Time>,
+    /// To be closed once nothing is open.
+    ending: bool,
+}
+
+/// The connections, as the desk knows them.
+#[derive(Default)]
+pub struct Outlets {
+    conns: BTreeMap<ConnId, Outlet>,
+    /// The free value that goes out with every answer and check.
+    pub say: Option<f64>,
+    /// Connections that carried nothing for this long are closed.
+    pub idle: Option<Time>,
+}
+
+impl Outlets {
+    pub fn opened(&mut self, now: Time, conn: ConnId, parcels: Sender<Parcel>) {
+        self.conns.insert(conn, Outlet { parcels, open: 0, used: now, told: None, ending: false });
+    }
+
+    pub fn closed(&mut self, conn: ConnId) {
+        self.conns.remove(&conn);
+    }
+
+    pub fn took(&mut self, now: Time, conn: ConnId) {
+        if let Some(outlet) = self.conns.get_mut(&conn) {
+            outlet.open += 1;
+            outlet.used = now;
+        }
+    }
+
+    /// Sends a reply where the connection still stands. One whose queue is full reads nothing: it is dropped.
+    pub fn send(&mut self, now: Time, conn: ConnId, reply: &Reply) {
+        let Some(outlet) = self.conns.get_mut(&conn) else { return };
+        let mut bytes = Vec::new();
+        let settles = reply.settles();
+        reply.encode(self.say, &mut bytes);
+        if outlet.parcels.try_send(Parcel { bytes, settles }).is_err() {
+            tracing::warn!(conn = conn.0, "a sidecar reads nothing; its connection is dropped");
+            self.conns.remove(&conn);
+            return;
+        }
+        outlet.used = now;
+        outlet.open -= usize::from(settles).min(outlet.open);
+        self.end_if_settled(conn);
+    }
+
+    pub fn fault(&mut self, now: Time, conn: ConnId, why: &'static str) {
+        self.send(now, conn, &Reply::Fault(why));
+        self.end(conn);
+    }
+
+    /// Closes the connection once nothing is open on it.
+    pub fn end(&mut self, conn: ConnId) {
+        if let Some(outlet) = self.conns.get_mut(&conn) {
+            outlet.ending = true;
+        }
+        self.end_if_settled(conn);
+    }
+
+    fn end_if_settled(&mut self, conn: ConnId) {
+        if self.conns.get(&conn).is_some_and(|o| o.ending && o.open == 0) {
+            self.conns.remove(&conn);
+        }
+    }
+
+    /// Tells every sidecar that was not told yet to send no more.
+    pub fn no_more(&mut self, now: Time) {
+        let untold: Vec<_> = self.conns.iter().filter(|(_, o)| o.told.is_none()).map(|(c, _)| *c).collect();
+        untold.into_iter().for_each(|conn| self.tell(now, conn));
+    }
+
+    fn tell(&mut self, now: Time, conn: ConnId) {
+        self.send(now, conn, &Reply::NoMore);
+        if let Some(outlet) = self.conns.get_mut(&conn) {
+            outlet.told = Some(now);
+        }
+    }
+
+    /// Idle connections are told first and closed after what may cross.
+    pub fn chores(&mut self, now: Time) {
+        let idle = self.idle.unwrap_or(Time::MAX);
+        let due = |o: &Outlet| o.open == 0 && o.told.is_none() && now - o.used >= idle;
+        let idle: Vec<_> = self.conns.iter().filter(|(_, o)| due(o)).map(|(c, _)| *c).collect();
+        idle.into_iter().for_each(|conn| self.tell(now, conn));
+        self.conns.retain(|_, o| o.open > 0 || o.told.is_none_or(|at| now - o.used.max(at) < CROSSING));
+    }
+
+    /// Whether nothing is open or waits to be written.
+    pub fn settled(&self) -> bool {
+        self.conns.values().all(|o| o.open == 0 && o.parcels.is_empty())
+    }
+
+    pub fn count(&self) -> usize {
+        self.conns.len()
+    }
+}
--- /dev/null
+++ b/crates/server/src/config.rs
@@ -0,0 +1,78 @@
+//! What the program is told at its start.
+use cottondyke_decide::decide::Decider;
+use cottondyke_decide::types::{Kind, Time};
+use cottondyke_settings::{self as settings, Places, Wrong};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Descriptors kept for engine, calls, control plane, listener, timers and log.
+const KEPT_BACK: u64 = 96;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub engine: SocketAddr,
+    pub control: SocketAddr,
+    pub records: SocketAddr,
+    pub seed: u64,
+    /// From the notice to leave to the end.
+    pub stop: Duration,
+    /// Connections taken from sidecars.
+    pub connections: usize,
+    pub kinds: Vec<Kind>,
+    /// How long the answer of a read may be handed to others.
+    pub fresh: Time,
+    pub places: Places,
+    settings: Value,
+}
+
+impl Config {
+    pub fn read(path: &str) -> Result<Self, Wrong> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+        Self::parse(&text).map_err(|wrong| format!("{path}: {wrong}"))
+    }
+
+    pub fn parse(text: &str) -> Result<Self, Wrong> {
+        let all: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+        let address = |key: &str| {
+            let text = settings::text(&all, key)?;
+            text.parse().map_err(|_| format!("{key} is not an address with a port: {text}"))
+        };
+        let conf = all.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
+        let seed = settings::text(&all, "seed")?;
+        let limits = all.get("limits").filter(|l| l.is_object()).ok_or("limits is missing")?;
+        let sockets = settings::whole(limits, "sockets").map_err(|wrong| format!("limits: {wrong}"))?;
+        let connections = sockets.checked_sub(KEPT_BACK).filter(|n| *n > 0);
+        let places = settings::places(conf);
+        if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
+            return Err("settings: classes is empty or lacks a name".to_string());
+        }
+        let config = Config {
+            name: settings::text(&all, "name")?.to_string(),
+            listen: address("listen")?,
+            engine: address("engine")?,
+            control: address("control")?,
+            records: address("records")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| "seed is not a hexadecimal number")?,
+            stop: Duration::from_millis(settings::whole(&all, "stop_ms")?),
+            connections: connections.ok_or(format!("limits: sockets must be over {KEPT_BACK}"))? as usize,
+            kinds: settings::kinds(conf).map_err(|wrong| format!("settings: {wrong}"))?,
+            fresh: settings::fresh(conf).map_err(|wrong| format!("settings: {wrong}"))?,
+            places,
+            settings: conf.clone(),
+        };
+        if config.name.is_empty()
+            || !config.name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+        {
+            return Err("name may hold letters, digits, dots and dashes".to_string());
+        }
+        config.decider(Time(0)).map(|_| config)
+    }
+
+    /// The decider of a server whose engine started at `born`.
+    pub fn decider(&self, born: Time) -> Result<Decider, Wrong> {
+        settings::decider(born, self.seed, &self.settings).map_err(|wrong| format!("settings: {wrong}"))
+    }
+}
--- /dev/null
+++ b/crates/server/src/drain.rs
@@ -0,0 +1,44 @@
+//! Leaving: the notice, and when to stop listening and to end.
+use crate::desk::Input;
+use async_channel::Sender;
+use async_signal::{Signal, Signals};
+use cottondyke_decide::types::Time;
+use futures_lite::StreamExt;
+use std::io;
+
+/// Parts of the time between the notice and the end: from when no connection is taken, and from when the
+/// program ends as soon as everything it read is answered. The decider has answered all by 0.95.
+const CLOSE_PART: f64 = 0.88;
+const END_PART: f64 = 0.955;
+
+pub fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int])
+}
+
+/// Passes the notice on; the desk takes the first only.
+pub async fn watch(mut signals: Signals, desk: Sender<Input>) {
+    while let Some(Ok(_)) = signals.next().await {
+        if desk.send(Input::Leave).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    Serving,
+    Leaving,
+    Closed,
+    Ended,
+}
+
+/// How far a server that was told to leave at `notice` has come.
+pub fn stage(notice: Option<Time>, left: Time, now: Time) -> Stage {
+    let Some(notice) = notice else { return Stage::Serving };
+    let reached = |part: f64| now >= notice + left.times(part);
+    match (reached(CLOSE_PART), reached(END_PART)) {
+        (_, true) => Stage::Ended,
+        (true, _) => Stage::Closed,
+        _ => Stage::Leaving,
+    }
+}
--- /dev/null
+++ b/crates/server/src/intake.rs
@@ -0,0 +1,78 @@
+//! One sidecar's connection: reads frames and hands them to the desk, writes what the desk answers.
+use crate::answer::{self, Parcel};
+use crate::desk::{ConnId, Input};
+use crate::wire::sidecar::{Decoder, Message, Names};
+use crate::wire::Malformed;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, FutureExt};
+use std::cell::Cell;
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Reqs that may be open on one connection.
+const MOST_OPEN: usize = 32;
+/// Replies that may wait to be written to one connection, checks and faults among them.
+const MOST_WAITING: usize = 4 * MOST_OPEN;
+const READ: usize = 16_384;
+/// After the last answer, how long what the peer still sends is read and thrown away.
+const LINGER: Duration = Duration::from_millis(500);
+
+pub async fn serve(conn: ConnId, stream: Async<TcpStream>, names: Rc<Names>, desk: Sender<Input>) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let (outlet, parcels) = async_channel::bounded::<Parcel>(MOST_WAITING);
+    if desk.send(Input::Opened(conn, outlet)).await.is_err() {
+        return;
+    }
+    let open = Cell::new(0);
+    let reading = async {
+        let last = match read(conn, &stream, names, &desk, &open).await {
+            Ok(()) => Input::Finished(conn),
+            Err(Malformed(why)) => Input::Malformed(conn, why),
+        };
+        let _ = desk.send(last).await;
+        // The writer ends the connection once the desk has settled what is open.
+        std::future::pending::<()>().await
+    };
+    reading.or(answer::write(&stream, parcels, &open)).await;
+    if stream.get_ref().shutdown(Shutdown::Write).is_ok() {
+        let rest = async {
+            let mut bytes = [0; 1_024];
+            while matches!((&stream).read(&mut bytes).await, Ok(count) if count > 0) {}
+        };
+        let late = async {
+            Timer::after(LINGER).await;
+        };
+        rest.or(late).await;
+    }
+}
+
+/// Reads until the sidecar ends its side.
+async fn read(
+    conn: ConnId, stream: &Async<TcpStream>, names: Rc<Names>, desk: &Sender<Input>, open: &Cell<usize>,
+) -> Result<(), Malformed> {
+    let mut decoder = Decoder::new(names);
+    let mut bytes = vec![0; READ];
+    loop {
+        let count = (&mut &*stream).read(&mut bytes).await.unwrap_or(0);
+        if count == 0 {
+            return if decoder.midway() { Err(Malformed("the connection ended in a frame")) } else { Ok(()) };
+        }
+        decoder.feed(&bytes[..count]);
+        while let Some(message) = decoder.message()? {
+            let input = match message {
+                Message::Req(req) if open.get() < MOST_OPEN => Input::Req(conn, req),
+                Message::Req(req) => Input::Surplus(conn, req.stream),
+                Message::Unfit(stream, why) => Input::Unfit(conn, stream, why),
+                Message::Check { stream, deep } => Input::Check { conn, stream, deep },
+            };
+            if !matches!(input, Input::Check { .. }) {
+                open.set(open.get() + 1);
+            }
+            if desk.send(input).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/keys.rs
@@ -0,0 +1,117 @@
+//! Which reqs repeat which: the table behind kept keys and shared answers. The decider says what stays.
+use cottondyke_decide::types::{HandlerId, ReqId, Time};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Results kept for repeats, in bytes; past that the oldest go, and their repeats are errored.
+const MOST_BYTES: usize = 16 << 20;
+
+/// What repeats have in common: their handler and their mark.
+pub type Key = (HandlerId, Box<str>);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Open,
+    Done(Option<Rc<[u8]>>),
+    Failed,
+}
+
+#[derive(Debug)]
+struct Entry {
+    key: Key,
+    /// When the entry ends; an open read's has no end yet.
+    until: Option<Time>,
+    outcome: Outcome,
+}
+
+#[derive(Debug, Default)]
+pub struct Keys {
+    by_key: BTreeMap<Key, ReqId>,
+    entries: BTreeMap<ReqId, Entry>,
+    ends: BTreeMap<(Time, ReqId), ()>,
+    bytes: usize,
+}
+
+impl Keys {
+    /// The live entry that a req with this key repeats.
+    pub fn repeats(&mut self, now: Time, key: &Key) -> Option<ReqId> {
+        self.expire(now);
+        self.by_key.get(key).copied()
+    }
+
+    /// Keeps a req's entry until `until`, or while it is open. The entry moves here from an older req.
+    pub fn keep(&mut self, id: ReqId, key: Key, until: Option<Time>) {
+        let outcome = self.entries.get(&id).map_or(Outcome::Open, |e| e.outcome.clone());
+        if let Some(older) = self.by_key.insert(key.clone(), id) {
+            self.drop_entry(older);
+        }
+        self.by_key.insert(key.clone(), id);
+        if let Outcome::Done(Some(result)) = &outcome {
+            self.bytes += result.len();
+        }
+        self.entries.insert(id, Entry { key, until, outcome });
+        if let Some(until) = until {
+            self.ends.insert((until, id), ());
+        }
+    }
+
+    pub fn release(&mut self, id: ReqId) {
+        if let Some(entry) = self.drop_entry(id) {
+            self.by_key.remove(&entry.key);
+        }
+    }
+
+    fn drop_entry(&mut self, id: ReqId) -> Option<Entry> {
+        let entry = self.entries.remove(&id)?;
+        if let Outcome::Done(Some(result)) = &entry.outcome {
+            self.bytes -= result.len();
+        }
+        if let Some(until) = entry.until {
+            self.ends.remove(&(until, id));
+        }
+        Some(entry)
+    }
+
+    /// Notes how a kept req ended; an open read's entry stays for `fresh` if it went well, else it goes.
+    pub fn ended(&mut self, now: Time, id: ReqId, result: Option<Rc<[u8]>>, fresh: Time) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let read = entry.until.is_none();
+        entry.outcome = result.map_or(Outcome::Failed, |result| Outcome::Done(Some(result)));
+        let went_well = matches!(entry.outcome, Outcome::Done(_));
+        if let Outcome::Done(Some(result)) = &entry.outcome {
+            self.bytes += result.len();
+        }
+        if read {
+            if went_well && fresh > Time(0) {
+                entry.until = Some(now + fresh);
+                self.ends.insert((now + fresh, id), ());
+            } else {
+                self.release(id);
+            }
+        }
+        let mut oldest = self.entries.iter_mut();
+        while self.bytes > MOST_BYTES {
+            let Some((_, entry)) = oldest.next() else { break };
+            if let Outcome::Done(result) = &mut entry.outcome {
+                self.bytes -= result.take().map_or(0, |r| r.len());
+            }
+        }
+    }
+
+    pub fn outcome(&self, id: ReqId) -> Option<&Outcome> {
+        self.entries.get(&id).map(|e| &e.outcome)
+    }
+
+    pub fn holds(&self, id: ReqId) -> bool {
+        self.entries.contains_key(&id)
+    }
+
+    pub fn expire(&mut self, now: Time) {
+        while let Some(((until, id), ())) = self.ends.first_key_value().map(|(k, v)| (*k, *v)) {
+            if until > now {
+                break;
+            }
+            self.release(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,17 @@
+//! The backend on sockets. Modules follow the stages of a req: `accept` takes connections, `intake` reads,
+//! the `desk` owns the decider and carries out what it decides, `run` speaks with the engine, `call` with the
+//! records service, `answer` writes. Beside them `keys`, `health`, `report` and `drain`.
+pub mod accept;
+pub mod answer;
+pub mod call;
+pub mod config;
+pub mod desk;
+pub mod drain;
+pub mod health;
+pub mod intake;
+pub mod keys;
+pub mod report;
+pub mod run;
+pub mod serve;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/crates/server/src/report.rs
@@ -0,0 +1,73 @@
+//! Reports to the control plane, about one each second. It may be down, slow or odd: serving goes on.
+use crate::wire::http::{self, Decoder};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const EACH: Duration = Duration::from_secs(1);
+const LIMIT: Duration = Duration::from_millis(800);
+
+/// Reports until the program ends; `ready` is what health checks hear.
+pub async fn keep(addr: SocketAddr, name: String, ready: Rc<Cell<bool>>) {
+    let path = format!("/v2/endpoints/{name}");
+    let mut kept = None;
+    let mut beat = Timer::interval_at(std::time::Instant::now(), EACH);
+    let mut failing = false;
+    loop {
+        futures_lite::StreamExt::next(&mut beat).await;
+        let condition = if ready.get() { "Ready" } else { "NotReady" };
+        let body = format!("{{\"condition\":\"{condition}\"}}");
+        let late = async {
+            Timer::after(LIMIT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let result = report(addr, &path, body.as_bytes(), kept.take()).or(late).await;
+        if result.is_err() != failing {
+            failing = !failing;
+            match &result {
+                Err(error) => tracing::warn!(%error, "reports to the control plane fail"),
+                Ok(_) => tracing::info!("reports to the control plane arrive again"),
+            }
+        }
+        kept = result.ok().flatten();
+    }
+}
+
+/// One report; a kept connection that has gone stale is replaced once. Returns the connection if it serves on.
+async fn report(
+    addr: SocketAddr, path: &str, body: &[u8], kept: Option<Async<TcpStream>>,
+) -> io::Result<Option<Async<TcpStream>>> {
+    if let Some(stream) = kept {
+        if let Ok(stream) = put(stream, addr, path, body).await {
+            return Ok(stream);
+        }
+    }
+    let stream = Async::<TcpStream>::connect(addr).await?;
+    let _ = stream.get_ref().set_nodelay(true);
+    put(stream, addr, path, body).await
+}
+
+async fn put(
+    mut stream: Async<TcpStream>, addr: SocketAddr, path: &str, body: &[u8],
+) -> io::Result<Option<Async<TcpStream>>> {
+    let mut bytes = Vec::new();
+    http::request("PUT", path, &addr.to_string(), &[], body, &mut bytes);
+    stream.write_all(&bytes).await?;
+    let mut decoder = Decoder::default();
+    let mut read = [0; 1_024];
+    loop {
+        let count = stream.read(&mut read).await?;
+        decoder.feed(&read[..count]);
+        let reply = decoder.reply().map_err(|wrong| io::Error::new(io::ErrorKind::InvalidData, wrong.0))?;
+        match reply.or_else(|| if count == 0 { decoder.ended() } else { None }) {
+            Some(reply) if (200..300).contains(&reply.status) => return Ok(reply.keeps.then_some(stream)),
+            Some(reply) => return Err(io::Error::other(format!("answered {}", reply.status))),
+            None if count == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/run.rs
@@ -0,0 +1,207 @@
+//! The link to the engine: kept open, taken up again where it broke.
+use crate::desk::Input;
+use crate::wire::engine::{Command, Decoder, Notice, NoticeNo, Tag};
+use crate::wire::WireId;
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+const READ: usize = 16_384;
+
+/// Connects again and again, with growing pauses; the notices read whole are never asked for again.
+pub async fn keep(addr: SocketAddr, desk: Sender<Input>) {
+    let mut last = NoticeNo(0);
+    let mut pause = SHORTEST_PAUSE;
+    loop {
+        let late = async {
+            Timer::after(CONNECT_LIMIT).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        match Async::<TcpStream>::connect(addr).or(late).await {
+            Ok(stream) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                if attached(&stream, &mut last, &desk).await {
+                    pause = SHORTEST_PAUSE;
+                }
+            }
+            Err(error) => tracing::debug!(%error, "the engine cannot be reached"),
+        }
+        Timer::after(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// One link, from `ATTACH` until it breaks; true if the engine said hello on it.
+async fn attached(stream: &Async<TcpStream>, last: &mut NoticeNo, desk: &Sender<Input>) -> bool {
+    let (outlet, commands) = async_channel::unbounded();
+    let _ = outlet.try_send(Command::Attach(*last));
+    let mut unsent = VecDeque::new();
+    let mut greeted = None;
+    let why = {
+        let reading = read(stream, last, desk, outlet, &mut greeted);
+        let writing = write(stream, &commands, &mut unsent);
+        reading.or(writing).await
+    };
+    tracing::warn!(why, "the link to the engine broke");
+    commands.close();
+    let left = unsent.into_iter().map(|(command, _)| command);
+    let left: Vec<_> = left.chain(std::iter::from_fn(|| commands.try_recv().ok())).collect();
+    if greeted.is_some() {
+        let _ = desk.send(Input::EngineDown(left)).await;
+    }
+    greeted.is_some()
+}
+
+async fn read(
+    stream: &Async<TcpStream>, last: &mut NoticeNo, desk: &Sender<Input>, outlet: Sender<Command>,
+    greeted: &mut Option<()>,
+) -> &'static str {
+    let mut decoder = Decoder::default();
+    let mut bytes = vec![0; READ];
+    loop {
+        match (&mut &*stream).read(&mut bytes).await {
+            Ok(count) if count > 0 => decoder.feed(&bytes[..count]),
+            Ok(_) => return "closed by the engine",
+            Err(_) => return "reset",
+        }
+        loop {
+            let notice = match decoder.notice() {
+                Ok(Some(notice)) => notice,
+                Ok(None) => break,
+                Err(wrong) => return wrong.0,
+            };
+            let number = notice.number();
+            // A notice that comes again changes nothing.
+            if number.is_some_and(|no| no <= *last) {
+                continue;
+            }
+            let input = match notice {
+                Notice::Hello { age_ms } => {
+                    *greeted = Some(());
+                    Input::EngineUp { age_ms, outlet: outlet.clone() }
+                }
+                Notice::Remark(_) => {
+                    *last = number.unwrap_or(*last);
+                    continue;
+                }
+                Notice::Unknown(line) => {
+                    tracing::warn!(line = line.get(..80).unwrap_or(&line), "an unknown notice");
+                    continue;
+                }
+                other => Input::Notice(other),
+            };
+            if desk.send(input).await.is_err() {
+                return "the desk has ended";
+            }
+            *last = number.unwrap_or(*last);
+        }
+    }
+}
+
+/// Writes commands; what was not written to its last byte stays in `unsent`.
+async fn write(
+    stream: &Async<TcpStream>, commands: &Receiver<Command>, unsent: &mut VecDeque<(Command, usize)>,
+) -> &'static str {
+    let mut bytes = Vec::new();
+    while let Ok(first) = commands.recv().await {
+        bytes.clear();
+        for command in std::iter::once(first).chain(std::iter::from_fn(|| commands.try_recv().ok())) {
+            command.encode(&mut bytes);
+            unsent.push_back((command, bytes.len()));
+        }
+        let mut written = 0;
+        while written < bytes.len() {
+            match (&mut &*stream).write(&bytes[written..]).await {
+                Ok(count) if count > 0 => written += count,
+                _ => return "broke while commands were sent",
+            }
+            while unsent.front().is_some_and(|(_, end)| *end <= written) {
+                unsent.pop_front();
+            }
+        }
+    }
+    "the desk let it go"
+}
+
+/// What the desk knows of the engine: the link's way in, and what waits for a link.
+#[derive(Default)]
+pub struct Engine {
+    outlet: Option<Sender<Command>>,
+    /// After a link was taken up again, its answer shows that all earlier notices are read.
+    fence: Option<Tag>,
+    backlog: Vec<Command>,
+    tags: u64,
+    /// Whether the engine has ever said hello.
+    pub greeted: bool,
+}
+
+impl Engine {
+    pub fn up(&mut self, outlet: Sender<Command>) {
+        self.greeted = true;
+        self.outlet = Some(outlet);
+        self.fence = self.ask(Command::Stat);
+    }
+
+    /// What was not sent whole was not carried out: it waits, as what comes meanwhile does.
+    pub fn down(&mut self, unsent: Vec<Command>) {
+        (self.outlet, self.fence) = (None, None);
+        let since = std::mem::take(&mut self.backlog);
+        unsent.into_iter().chain(since).for_each(|command| self.send(command));
+    }
+
+    /// True once the fence is passed: now the backlog can go out.
+    pub fn passed(&mut self, tag: Tag) -> bool {
+        let passed = self.fence == Some(tag);
+        if passed {
+            self.fence = None;
+        }
+        passed
+    }
+
+    /// Sends what waited, after runs that may have been lost with the last link.
+    pub fn resume(&mut self, again: Vec<Command>) {
+        let backlog = std::mem::take(&mut self.backlog);
+        again.into_iter().chain(backlog).for_each(|command| self.send(command));
+    }
+
+    pub fn waits(&self, run: WireId) -> bool {
+        self.backlog.iter().any(|c| matches!(c, Command::Run { id, .. } if *id == run))
+    }
+
+    pub fn forget(&mut self) {
+        self.backlog.clear();
+    }
+
+    pub fn send(&mut self, command: Command) {
+        let command = match &self.outlet {
+            Some(outlet) if self.fence.is_none() => match outlet.try_send(command) {
+                Ok(()) => return,
+                Err(closed) => closed.into_inner(),
+            },
+            _ => command,
+        };
+        // Halts are asked for again and again; gauges and tests are of no use later.
+        let useless = matches!(command, Command::Stat(_) | Command::Test(_) | Command::Attach(_));
+        if !useless && !(matches!(command, Command::Halt(_)) && self.backlog.contains(&command)) {
+            self.backlog.push(command);
+        }
+    }
+
+    /// Asks for gauges or a test; none while there is no link.
+    pub fn ask(&mut self, command: fn(Tag) -> Command) -> Option<Tag> {
+        let tag = Tag(self.tags);
+        self.tags += 1;
+        let sent = self.outlet.as_ref().is_some_and(|outlet| outlet.try_send(command(tag)).is_ok());
+        sent.then_some(tag)
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.outlet.is_some()
+    }
+}
--- /dev/null
+++ b/crates/server/src/serve.rs
@@ -0,0 +1,46 @@
+//! Puts the parts together and runs them on one thread.
+use crate::config::Config;
+use crate::desk::{Desk, MOST_INPUTS};
+use crate::time::Clock;
+use crate::wire::sidecar::Names;
+use crate::{accept, drain, report, run};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::FutureExt;
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+
+/// Serves until the server has left; an error says in one line why it could not.
+pub fn serve(config: Config) -> Result<(), String> {
+    let listener = Async::<TcpListener>::bind(config.listen)
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
+    let clock = Clock::start();
+    let decider = config.decider(clock.now())?;
+    let names =
+        Names { handlers: config.places.handlers.clone(), customers: config.places.customers.clone() };
+    let config = Rc::new(config);
+    let (to_desk, inputs) = async_channel::bounded(MOST_INPUTS);
+    let (close, closed) = async_channel::bounded(1);
+    let ready = Rc::new(Cell::new(false));
+    let executor = Rc::new(LocalExecutor::new());
+    tracing::info!(name = config.name, listen = %config.listen, "serving");
+
+    let accepting = accept::listen(
+        executor.clone(),
+        listener,
+        config.connections,
+        Rc::new(names),
+        to_desk.clone(),
+        closed,
+    );
+    executor.spawn(accepting).detach();
+    executor.spawn(run::keep(config.engine, to_desk.clone())).detach();
+    executor.spawn(report::keep(config.control, config.name.clone(), ready.clone())).detach();
+    executor.spawn(drain::watch(signals, to_desk.clone())).detach();
+    let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, ready, close);
+    let desk = AssertUnwindSafe(desk.run(inputs)).catch_unwind();
+    async_io::block_on(executor.run(desk)).map_err(|_| "the desk panicked".to_string())
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,10 +1,38 @@
-//! From the start-up settings of an instance to a decider: each part is handed its own few.
-use crate::decode::{flag, maybe_number, number, text, whole};
-use crate::Wrong;
+//! From the start-up settings of an instance to a decider: each part is handed its own few. The adapter and
+//! the server both build theirs here.
 use cottondyke_decide::decide::*;
 use cottondyke_decide::types::*;
 use serde_json::Value;
 
+/// What is wrong, in words that name the place.
+pub type Wrong = String;
+
+pub fn present<'a>(of: &'a Value, key: &str) -> Option<&'a Value> {
+    of.get(key).filter(|v| !v.is_null())
+}
+
+pub fn text<'a>(of: &'a Value, key: &str) -> Result<&'a str, Wrong> {
+    of.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing or not a text"))
+}
+
+pub fn whole(of: &Value, key: &str) -> Result<u64, Wrong> {
+    of.get(key).and_then(Value::as_u64).ok_or_else(|| format!("{key} is missing or not a whole number"))
+}
+
+pub fn number(of: &Value, key: &str) -> Result<f64, Wrong> {
+    maybe_number(of, key)?.ok_or_else(|| format!("{key} is missing"))
+}
+
+pub fn maybe_number(of: &Value, key: &str) -> Result<Option<f64>, Wrong> {
+    let finite =
+        |v: &Value| v.as_f64().filter(|n| n.is_finite()).ok_or_else(|| format!("{key} is not a number"));
+    present(of, key).map(finite).transpose()
+}
+
+pub fn flag(of: &Value, key: &str) -> bool {
+    of.get(key).and_then(Value::as_bool).unwrap_or(false)
+}
+
 fn span(of: &Value, key: &str) -> Result<Time, Wrong> {
     Ok(Time((maybe_number(of, key)?.unwrap_or(0.0) * 10.0).clamp(0.0, 1e15) as i64))
 }
@@ -13,29 +41,47 @@
     of.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
-/// What decoding needs of the settings: how many handlers there are, and where the gauges that the decider
-/// reads stand in each row.
+/// What decoding needs of the settings: the names of handlers and customers in their order, and where the
+/// gauges that the decider reads stand in each row.
+#[derive(Clone, Debug)]
 pub struct Places {
-    pub handlers: usize,
+    pub handlers: Vec<String>,
+    pub customers: Vec<String>,
     pub busy: Option<usize>,
 }
 
 pub fn places(conf: &Value) -> Places {
     let names = conf.get("family_info").map_or(&[][..], |info| list(info, "own_stats"));
     let place = |name: &str| names.iter().position(|n| n.as_str() == Some(name));
-    let handlers = list(conf, "classes").len();
-    Places { handlers, busy: place("cpu_busy") }
+    let named = |key: &str| {
+        let name = |v: &Value| v.get("name").and_then(Value::as_str).unwrap_or_default().to_string();
+        list(conf, key).iter().map(name).collect()
+    };
+    Places { handlers: named("classes"), customers: named("customers"), busy: place("cpu_busy") }
+}
+
+fn kind(class: &Value) -> Result<Kind, Wrong> {
+    match text(class, "effect")? {
+        "repeatable" => Ok(Kind::Replayable),
+        "by_key" => Ok(Kind::Uniqued),
+        "once" => Ok(Kind::NonReplayable),
+        other => Err(format!("unknown effect {other}")),
+    }
+}
+
+/// The kind of each handler.
+pub fn kinds(conf: &Value) -> Result<Vec<Kind>, Wrong> {
+    list(conf, "classes").iter().map(kind).collect()
+}
+
+/// How long a read's answer may be handed to others.
+pub fn fresh(conf: &Value) -> Result<Time, Wrong> {
+    conf.get("family_info").map_or(Ok(Time(0)), |info| span(info, "fresh_ms"))
 }
 
 fn handler(place: usize, class: &Value, info: &Value) -> Result<Handler, Wrong> {
-    let kind = match text(class, "effect")? {
-        "repeatable" => Kind::Replayable,
-        "by_key" => Kind::Uniqued,
-        "once" => Kind::NonReplayable,
-        other => return Err(format!("unknown effect {other}")),
-    };
     Ok(Handler {
-        kind,
+        kind: kind(class)?,
         response_target: span(class, "aim_ms")?.max(Time(1)),
         target_stretch: maybe_number(class, "aim_stretch")?.unwrap_or(0.0),
         client_timeout: span(class, "deadline_ms")?.max(Time(1)),
