--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -188,7 +188,8 @@
         };
         // Halts are asked for again and again; gauges and tests are of no use later.
         let useless = matches!(command, Command::Stat(_) | Command::Test(_) | Command::Attach(_));
-        if !useless && !(matches!(command, Command::Halt(_)) && self.backlog.contains(&command)) {
+        let twice = matches!(command, Command::Halt(_)) && self.backlog.contains(&command);
+        if !useless && !twice {
             self.backlog.push(command);
         }
     }
