--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -1,6 +1,6 @@
 //! Takes connections from sidecars, within the budget of descriptors.
 use crate::desk::{ConnId, Input};
-use crate::intake;
+use crate::intake::{self, Parts};
 use crate::wire::sidecar::Names;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -23,7 +23,7 @@
     desk: Sender<Input>, close: Receiver<()>,
 ) {
     let room = Arc::new(Semaphore::new(most));
-    let mut next = 0;
+    let (mut next, parts) = (0, Parts::default());
     let closed = async {
         let _ = close.recv().await;
         None
@@ -46,10 +46,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let (conn, names, desk) = (ConnId(next), names.clone(), desk.clone());
+                let (conn, names, parts, desk) = (ConnId(next), names.clone(), parts.clone(), desk.clone());
                 next += 1;
                 let task = async move {
-                    let serve = intake::serve(conn, stream, names, desk.clone());
+                    let serve = intake::serve(conn, stream, names, parts, desk.clone());
                     if AssertUnwindSafe(serve).catch_unwind().await.is_err() {
                         tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
                     }
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -44,7 +44,8 @@
         let seed = settings::text(&all, "seed")?;
         let limits = all.get("limits").filter(|l| l.is_object()).ok_or("limits is missing")?;
         let sockets = settings::whole(limits, "sockets").map_err(|wrong| format!("limits: {wrong}"))?;
-        let connections = sockets.checked_sub(KEPT_BACK).filter(|n| *n > 0);
+        let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let connections = sockets.min(allowed.unwrap_or(sockets)).checked_sub(KEPT_BACK).filter(|n| *n > 0);
         let places = settings::places(conf);
         if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
             return Err("settings: classes is empty or lacks a name".to_string());
@@ -68,9 +69,29 @@
         {
             return Err("name may hold letters, digits, dots and dashes".to_string());
         }
+        config.plausible().map_err(|wrong| format!("settings: {wrong}"))?;
         config.decider(Time(0)).map(|_| config)
     }
 
+    /// Settings that no server can have.
+    fn plausible(&self) -> Result<(), Wrong> {
+        let part = |key: &str| self.settings.get(key).ok_or(format!("{key} is missing"));
+        let (info, rules) = (part("family_info")?, part("obligations")?);
+        let within = |of: &Value, key: &str, least: f64, most: f64| {
+            let number = settings::number(of, key)?;
+            let fits = (least..=most).contains(&number);
+            fits.then_some(()).ok_or(format!("{key} is {number}, which no server can have"))
+        };
+        within(info, "n_cores", 1.0, 65_536.0)?;
+        within(info, "mem_limit_kb", 1.0, 1e15)?;
+        within(rules, "overload_factor", 1.0, 1e9)?;
+        let classes = self.settings.get("classes").and_then(Value::as_array);
+        classes.into_iter().flatten().try_for_each(|class| {
+            within(class, "deadline_ms", 0.1, 1e12)?;
+            within(class, "aim_ms", 0.1, 1e12)
+        })
+    }
+
     /// The decider of a server whose engine started at `born`.
     pub fn decider(&self, born: Time) -> Result<Decider, Wrong> {
         settings::decider(born, self.seed, &self.settings).map_err(|wrong| format!("settings: {wrong}"))
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -27,6 +27,8 @@
 /// A wake goes to the decider without gauges when none come within this time.
 const GAUGES_WITHIN: Time = Time(100);
 const CHORES: Time = Time(500);
+const CHORES_LEAVING: Time = Time(50);
+const TALLY: Time = SECOND;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(pub u64);
@@ -80,6 +82,33 @@
     call: Option<(CallNo, Task<()>)>,
 }
 
+/// What went wrong in the last second: one line at the most, whatever the number.
+#[derive(Default)]
+struct Tally {
+    unfit: u64,
+    malformed: u64,
+    refused: u64,
+    calls_not_begun: u64,
+    calls_failed: u64,
+    errored: u64,
+    shed: u64,
+}
+
+impl Tally {
+    fn log(self) {
+        let Tally { unfit, malformed, refused, calls_not_begun, calls_failed, errored, shed } = self;
+        if unfit + malformed + refused > 0 {
+            tracing::warn!(unfit, malformed, refused, "bad input in the last second");
+        }
+        if calls_not_begun + calls_failed > 0 {
+            tracing::warn!(not_begun = calls_not_begun, failed = calls_failed, "calls in the last second");
+        }
+        if errored + shed > 0 {
+            tracing::info!(errored, shed, "answered without a run's result in the last second");
+        }
+    }
+}
+
 pub struct Desk {
     config: Rc<Config>,
     classes: Vec<Rc<str>>,
@@ -104,6 +133,8 @@
     /// Joined reqs whose answer is known, told to the decider once its results are carried out.
     joined: VecDeque<(ReqId, RunEnd)>,
     next_chores: Time,
+    tally: Tally,
+    next_tally: Time,
     notice: Option<Time>,
     close: Option<Sender<()>>,
 }
@@ -137,6 +168,8 @@
             asked: None,
             joined: VecDeque::new(),
             next_chores: clock.now(),
+            tally: Tally::default(),
+            next_tally: clock.now(),
             notice: None,
             close: Some(close),
         }
@@ -144,9 +177,6 @@
 
     /// Takes inputs until the server has left.
     pub async fn run(mut self, inputs: Receiver<Input>) {
-        let now = self.clock.now();
-        let first = self.decider.wake(now, Gauges::default());
-        self.carry_all(now, first);
         while !self.timers() {
             let mut timer = Timer::at(self.clock.instant(self.next_timer()));
             let due = async {
@@ -184,7 +214,7 @@
         let waiting = self.wakes.len();
         self.wakes.retain(|at| *at > now);
         if self.wakes.len() < waiting && self.asked.is_none() {
-            match self.engine.ask(Command::Stat) {
+            match self.engine.ask_gauges() {
                 Some(tag) => self.asked = Some((tag, now + GAUGES_WITHIN)),
                 None => self.wake(now, Gauges::default()),
             }
@@ -192,9 +222,13 @@
         if now < self.next_chores {
             return false;
         }
-        self.next_chores = now + CHORES;
+        self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
         self.records.retire();
+        if now >= self.next_tally {
+            self.next_tally = now + TALLY;
+            std::mem::take(&mut self.tally).log();
+        }
         self.keys.expire(now);
         let stage = drain::stage(self.notice, self.left(), now);
         if stage >= Stage::Closed && self.close.take().is_some() {
@@ -217,21 +251,28 @@
     fn take(&mut self, input: Input) {
         let now = self.clock.now();
         match input {
-            Input::Opened(conn, parcels) => self.outlets.opened(now, conn, parcels),
+            Input::Opened(conn, parcels) => {
+                self.outlets.opened(now, conn, parcels);
+                if self.close.is_none() {
+                    self.outlets.no_more(now);
+                }
+            }
             Input::Req(conn, req) => self.arrived(now, conn, req),
             Input::Surplus(conn, stream) => {
                 self.outlets.took(now, conn);
                 self.outlets.send(now, conn, &Reply::Shed { stream, after_ms: 0.0, last: false });
             }
             Input::Unfit(conn, stream, why) => {
-                tracing::warn!(conn = conn.0, why, "a req that cannot be run");
+                tracing::debug!(conn = conn.0, why, "a req that cannot be run");
+                self.tally.unfit += 1;
                 self.outlets.took(now, conn);
                 self.outlets.send(now, conn, &Reply::Errored(stream));
             }
             Input::Check { conn, stream, deep } => self.checked(now, conn, stream, deep),
             Input::Finished(conn) => self.outlets.end(conn),
             Input::Malformed(conn, why) => {
-                tracing::warn!(conn = conn.0, why, "a malformed frame; the connection is closed");
+                tracing::debug!(conn = conn.0, why, "a malformed frame; the connection is closed");
+                self.tally.malformed += 1;
                 self.outlets.fault(now, conn, why);
             }
             Input::Closed(conn) => self.outlets.closed(conn),
@@ -300,7 +341,8 @@
     fn arrived(&mut self, now: Time, conn: ConnId, req: Req) {
         self.outlets.took(now, conn);
         if self.by_wire.contains_key(&req.id) {
-            tracing::warn!(conn = conn.0, id = ?req.id, "an id that is open already");
+            tracing::debug!(conn = conn.0, id = ?req.id, "an id that is open already");
+            self.tally.unfit += 1;
             self.outlets.send(now, conn, &Reply::Errored(req.stream));
             return;
         }
@@ -358,6 +400,7 @@
                 self.carry_all(now, results);
             }
             Notice::Stats { tag, gauges } => {
+                self.engine.gauges_came(tag);
                 if self.engine.passed(tag) {
                     let again = self.runs_to_repeat();
                     self.engine.resume(again);
@@ -375,8 +418,9 @@
             Notice::Refused { command, id } => {
                 let known = id.and_then(|id| self.entry_of(id)).filter(|(_, entry)| entry.running);
                 let Some((id, entry)) = known else { return };
-                tracing::warn!(command, id = ?entry.wire, "the engine refused a command");
+                tracing::debug!(command, id = ?entry.wire, "the engine refused a command");
                 let end = if entry.begun { RunEnd::Errored } else { RunEnd::Void };
+                self.tally.refused += 1;
                 self.run_over(now, id, end, Vec::new());
             }
             Notice::Hello { .. } | Notice::Remark(_) | Notice::Unknown(_) => {}
@@ -412,10 +456,13 @@
         let kept: Option<Rc<[u8]>> =
             (end == RunEnd::Done && entry.key.is_some()).then(|| result.as_slice().into());
         let stream = entry.stream;
+        let shared = entry.key.is_some();
         let reply = if end == RunEnd::Done { Reply::Done(stream, result) } else { Reply::Errored(stream) };
         self.answer(now, id, reply);
-        self.keys.ended(now, id, kept.clone(), self.config.fresh);
-        self.settle_joined(now, id, kept);
+        if shared {
+            self.keys.ended(now, id, kept.clone(), self.config.fresh);
+            self.settle_joined(now, id, kept);
+        }
         let results = self.decider.run_ended(now, id, end);
         self.carry_all(now, results);
     }
@@ -460,6 +507,10 @@
             }
             Err(error) => {
                 tracing::debug!(?error, id = ?entry.wire, "a call failed");
+                match error {
+                    CallError::NotBegun(_) => self.tally.calls_not_begun += 1,
+                    CallError::MaybeBegun(_) => self.tally.calls_failed += 1,
+                }
                 error.end()
             }
         };
@@ -487,6 +538,7 @@
             // A call in hand is given up with its req.
             entry.call = None;
             let (stream, running) = (entry.stream, entry.running);
+            self.tally.errored += 1;
             self.answer(now, id, Reply::Errored(stream));
             if !running {
                 self.never_ran(now, id);
@@ -495,6 +547,7 @@
         for shed in results.shed {
             let Some(entry) = self.reqs.get(&shed.id) else { continue };
             let reply = Reply::Shed { stream: entry.stream, after_ms: ms(shed.pause), last: shed.last };
+            self.tally.shed += 1;
             self.answer(now, shed.id, reply);
             self.never_ran(now, shed.id);
         }
@@ -522,7 +575,7 @@
                 self.engine.send(Command::Skip(entry.wire, need));
             }
         }
-        if let Some(good) = results.health {
+        if let Some(good) = results.health.filter(|_| self.engine.greeted) {
             self.health.set(good);
             self.ready.set(good);
         }
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -15,11 +15,38 @@
 const MOST_OPEN: usize = 32;
 /// Replies that may wait to be written to one connection, checks and faults among them.
 const MOST_WAITING: usize = 4 * MOST_OPEN;
-const READ: usize = 16_384;
+const READ: usize = 8_192;
+/// What frames that came in part may take on all connections together, each one's first `READ` apart.
+const MOST_PARTS: usize = 32 << 20;
 /// After the last answer, how long what the peer still sends is read and thrown away.
 const LINGER: Duration = Duration::from_millis(500);
 
-pub async fn serve(conn: ConnId, stream: Async<TcpStream>, names: Rc<Names>, desk: Sender<Input>) {
+/// The room that frames in part take on all connections.
+#[derive(Clone, Default)]
+pub struct Parts(Rc<Cell<usize>>);
+
+/// One connection's share of it, given back at its end.
+struct Part(Parts, usize);
+
+impl Part {
+    /// Takes `size` in place of what was taken; false where there is no room.
+    fn set(&mut self, size: usize) -> bool {
+        let Parts(all) = &self.0;
+        all.set(all.get() - self.1 + size);
+        self.1 = size;
+        size == 0 || all.get() <= MOST_PARTS
+    }
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+pub async fn serve(
+    conn: ConnId, stream: Async<TcpStream>, names: Rc<Names>, parts: Parts, desk: Sender<Input>,
+) {
     let _ = stream.get_ref().set_nodelay(true);
     let (outlet, parcels) = async_channel::bounded::<Parcel>(MOST_WAITING);
     if desk.send(Input::Opened(conn, outlet)).await.is_err() {
@@ -27,7 +54,7 @@
     }
     let open = Cell::new(0);
     let reading = async {
-        let last = match read(conn, &stream, names, &desk, &open).await {
+        let last = match read(conn, &stream, names, Part(parts, 0), &desk, &open).await {
             Ok(()) => Input::Finished(conn),
             Err(Malformed(why)) => Input::Malformed(conn, why),
         };
@@ -50,14 +77,16 @@
 
 /// Reads until the sidecar ends its side.
 async fn read(
-    conn: ConnId, stream: &Async<TcpStream>, names: Rc<Names>, desk: &Sender<Input>, open: &Cell<usize>,
+    conn: ConnId, stream: &Async<TcpStream>, names: Rc<Names>, mut part: Part, desk: &Sender<Input>,
+    open: &Cell<usize>,
 ) -> Result<(), Malformed> {
     let mut decoder = Decoder::new(names);
     let mut bytes = vec![0; READ];
     loop {
         let count = (&mut &*stream).read(&mut bytes).await.unwrap_or(0);
         if count == 0 {
-            return if decoder.midway() { Err(Malformed("the connection ended in a frame")) } else { Ok(()) };
+            let midway = decoder.midway() > 0;
+            return if midway { Err(Malformed("the connection ended in a frame")) } else { Ok(()) };
         }
         decoder.feed(&bytes[..count]);
         while let Some(message) = decoder.message()? {
@@ -74,5 +103,8 @@
                 return Ok(());
             }
         }
+        if !part.set(decoder.midway().saturating_sub(READ)) {
+            return Err(Malformed("too much lies here in unfinished frames"));
+        }
     }
 }
--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -12,6 +12,8 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// Commands that may wait while the engine reads none; past that no halt is repeated. All others are one a req.
+const MOST_WAITING: usize = 1_024;
 const READ: usize = 16_384;
 
 /// Connects again and again, with growing pauses; the notices read whole are never asked for again.
@@ -137,6 +139,8 @@
     fence: Option<Tag>,
     backlog: Vec<Command>,
     tags: u64,
+    /// Gauges that were asked for and have not come: one question at a time.
+    unanswered: Option<Tag>,
     /// Whether the engine has ever said hello.
     pub greeted: bool,
 }
@@ -150,7 +154,7 @@
 
     /// What was not sent whole was not carried out: it waits, as what comes meanwhile does.
     pub fn down(&mut self, unsent: Vec<Command>) {
-        (self.outlet, self.fence) = (None, None);
+        (self.outlet, self.fence, self.unanswered) = (None, None, None);
         let since = std::mem::take(&mut self.backlog);
         unsent.into_iter().chain(since).for_each(|command| self.send(command));
     }
@@ -179,7 +183,9 @@
     }
 
     pub fn send(&mut self, command: Command) {
+        let halt = matches!(command, Command::Halt(_));
         let command = match &self.outlet {
+            Some(outlet) if halt && outlet.len() >= MOST_WAITING => return,
             Some(outlet) if self.fence.is_none() => match outlet.try_send(command) {
                 Ok(()) => return,
                 Err(closed) => closed.into_inner(),
@@ -188,7 +194,7 @@
         };
         // Halts are asked for again and again; gauges and tests are of no use later.
         let useless = matches!(command, Command::Stat(_) | Command::Test(_) | Command::Attach(_));
-        let twice = matches!(command, Command::Halt(_)) && self.backlog.contains(&command);
+        let twice = halt && self.backlog.contains(&command);
         if !useless && !twice {
             self.backlog.push(command);
         }
@@ -202,6 +208,19 @@
         sent.then_some(tag)
     }
 
+    /// Asks for gauges, unless the last were not sent yet.
+    pub fn ask_gauges(&mut self) -> Option<Tag> {
+        if self.unanswered.is_none() {
+            self.unanswered = self.ask(Command::Stat);
+            return self.unanswered;
+        }
+        None
+    }
+
+    pub fn gauges_came(&mut self, tag: Tag) {
+        self.unanswered.take_if(|asked| *asked == tag);
+    }
+
     pub fn is_up(&self) -> bool {
         self.outlet.is_some()
     }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -16,6 +16,7 @@
 pub fn serve(config: Config) -> Result<(), String> {
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
     let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
     let clock = Clock::start();
     let decider = config.decider(clock.now())?;
@@ -26,7 +27,7 @@
     let (close, closed) = async_channel::bounded(1);
     let ready = Rc::new(Cell::new(false));
     let executor = Rc::new(LocalExecutor::new());
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
+    tracing::info!(name = config.name, %listen, "serving");
 
     let accepting = accept::listen(
         executor.clone(),
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -19,6 +19,15 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// How much has come and is not decoded.
+    pub fn len(&self) -> usize {
+        self.rest().len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     pub fn rest(&self) -> &[u8] {
         &self.bytes[self.taken..]
     }
--- a/crates/server/src/wire/sidecar.rs
+++ b/crates/server/src/wire/sidecar.rs
@@ -76,9 +76,9 @@
         self.pending.feed(bytes);
     }
 
-    /// Whether a frame has come in part.
-    pub fn midway(&self) -> bool {
-        !self.pending.rest().is_empty()
+    /// How much of a frame has come in part.
+    pub fn midway(&self) -> usize {
+        self.pending.len()
     }
 
     /// The next message, once it has come whole. After an error nothing more can be decoded.
--- /dev/null
+++ b/crates/server/tests/serve/calls.rs
@@ -0,0 +1,101 @@
+//! Calls to the records service.
+use crate::peers::*;
+use crate::rig::*;
+use std::io::{Read, Write};
+
+/// A run that waits for its call.
+fn waiting(rig: &Rig, class: &str) -> (Link, Sidecar) {
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, class, &[], b"");
+    let run = started(&mut link);
+    link.say_with(&format!("NEED 1 {run}"), b"body").unwrap();
+    (link, sidecar)
+}
+
+/// Guards effects: a call that may have run is not made again for a req that must not run twice.
+#[test]
+fn a_call_that_may_have_run_is_not_repeated() {
+    for odd in
+        ["HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 504 x\r\n\r\n", "garbage\r\n\r\n", "HT"]
+    {
+        let rig = Rig::start();
+        let (_link, mut sidecar) = waiting(&rig, PAY);
+        let mut service = Service::accept(&rig.records).unwrap();
+        service.asked().unwrap();
+        service.0.get_mut().write_all(odd.as_bytes()).unwrap();
+        drop(service);
+        assert_eq!(sidecar.hear().unwrap().code, 9, "{odd}");
+    }
+}
+
+/// Guards against giving up where nothing has happened: a call that never ran is made again.
+#[test]
+fn a_call_that_never_ran_is_repeated() {
+    for status in ["503 Busy", "409 Conflict"] {
+        let rig = Rig::start();
+        let (mut link, _sidecar) = waiting(&rig, PAY);
+        let mut service = Service::accept(&rig.records).unwrap();
+        service.asked().unwrap();
+        service.reply(status, "Op-Not-Begun: 1\r\n", b"").unwrap();
+        // The connection serves on, byte by byte and in chunks.
+        service.asked().unwrap();
+        for byte in b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab\r\r\n2\r\n\nc\r\n0\r\n\r\n"
+        {
+            // A chunk that ends in CR and one that starts with LF mislead whatever looks for line ends in bodies.
+            if service.0.get_mut().write_all(&[*byte]).is_err() {
+                break;
+            }
+        }
+        let (words, body) = link.order().unwrap();
+        assert_eq!((words[0].as_str(), body.as_slice()), ("FEED", &b"ab\r\nc"[..]));
+    }
+}
+
+/// Guards against a call without an end: at its own time limit the connection is closed, which gives it up.
+#[test]
+fn a_call_without_a_reply_is_given_up_by_closing() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = waiting(&rig, READ);
+    let mut service = Service::accept(&rig.records).unwrap();
+    service.asked().unwrap();
+    assert_eq!(service.0.read(&mut [0]).unwrap_or(0), 0, "the connection is closed");
+    // This handler's calls can be skipped; the skip names the notice that asked.
+    let (words, _) = link.order().unwrap();
+    assert_eq!(words, ["SKIP", &id(1), "1"]);
+    link.say_with(&format!("DONE 2 {} fine 1", id(1)), b"poorer").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"poorer");
+}
+
+/// Guards against a call that outlives its req: when the run ends at it, the call is given up.
+#[test]
+fn a_call_ends_with_its_run() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = waiting(&rig, PAY);
+    let mut service = Service::accept(&rig.records).unwrap();
+    service.asked().unwrap();
+    link.say_with(&format!("DONE 2 {} fault 1", id(1)), b"").unwrap();
+    assert_eq!(sidecar.hear().unwrap().code, 9);
+    assert_eq!(service.0.read(&mut [0]).unwrap_or(0), 0);
+}
+
+/// Guards against writing to a connection that the service has closed meanwhile: it is not used again.
+#[test]
+fn a_stale_connection_is_not_used() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = waiting(&rig, PAY);
+    for n in 1..=2 {
+        let mut service = Service::accept(&rig.records).unwrap();
+        service.asked().unwrap();
+        service.reply("200 OK", "", b"ok").unwrap();
+        assert_eq!(link.order().unwrap().0[0], "FEED");
+        // The end of the connection reaches the server before the next need does.
+        drop(service);
+        link.say_with(&format!("DONE {} {} fine 1", n * 2, id(n)), b"").unwrap();
+        assert_eq!(sidecar.hear().unwrap().code, 1);
+        if n == 1 {
+            ask(&mut sidecar, 2, PAY, &[], b"");
+            let run = started(&mut link);
+            link.say_with(&format!("NEED 3 {run}"), b"body").unwrap();
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/tests/serve/conns.rs
@@ -0,0 +1,125 @@
+//! Connections of sidecars that are slow, rude, idle or too many.
+use crate::peers::*;
+use crate::rig::*;
+use serde_json::json;
+use std::io::{Read, Write};
+
+/// Guards the server's other connections: what cannot be decoded is told and closed, after the open reqs.
+#[test]
+fn a_malformed_frame_closes_its_connection_once_open_reqs_are_answered() {
+    let rig = Rig::start();
+    let (mut link, _other) = rig.ready();
+    let bad = [
+        frame(1, 0, &payload(&[], b"")),
+        frame(77, 9, b""),
+        vec![0, 0, 0, 4, 1, 0, 0, 0],
+        vec![0, 4, 0, 1, 1, 0, 0, 0],
+        frame(1, 1, &payload(&[], b"")),
+    ];
+    for (n, bytes) in bad.iter().enumerate() {
+        let mut sidecar = rig.sidecar();
+        let id = id(n as u64 + 50);
+        let at = unix_ms().to_string();
+        let fields = [("class", READ), ("id", &id), ("at", &at), ("from", "1"), ("kb", "1.0")];
+        sidecar.send(1, 1, &fields, b"").unwrap();
+        let run = started(&mut link);
+        sidecar.0.write_all(bytes).unwrap();
+        let told = sidecar.hear().unwrap();
+        assert_eq!((told.kind, told.stream), (2, 0), "{bytes:?}");
+        link.say_with(&format!("DONE {} {run} fine 1", n + 1), b"r").unwrap();
+        assert_eq!(sidecar.hear().unwrap().body, b"r");
+        assert!(sidecar.hear().is_err(), "then it is closed");
+    }
+}
+
+/// Guards the desk against a connection that is gone: its run is settled, with nobody to tell.
+#[test]
+fn a_reset_connection_harms_only_itself() {
+    let rig = Rig::start();
+    let (mut link, mut other) = rig.ready();
+    let mut gone = rig.sidecar();
+    ask(&mut gone, 1, READ, &[], b"");
+    let run = started(&mut link);
+    // Half a frame, then the end.
+    gone.0.write_all(&[0, 0]).unwrap();
+    drop(gone);
+    link.say_with(&format!("DONE 1 {run} fine 1"), &[7; 4_096]).unwrap();
+    ask(&mut other, 2, READ, &[], b"");
+    run_through(&mut link, 2, b"fine");
+    assert_eq!(other.hear().unwrap().body, b"fine");
+}
+
+/// Guards against a sidecar that asks and never reads: it is cut off, the others are served.
+#[test]
+fn a_sidecar_that_reads_nothing_is_cut_off() {
+    let rig = Rig::start();
+    let (mut link, mut other) = rig.ready();
+    let mut rude = rig.sidecar();
+    let checks: Vec<u8> = (0..4_096).flat_map(|_| frame(4, 0, &payload(&[], b""))).collect();
+    while rude.0.write_all(&checks).is_ok() {}
+    rig.logged("a sidecar reads nothing");
+    ask(&mut other, 1, READ, &[], b"");
+    run_through(&mut link, 1, b"");
+    assert_eq!(other.hear().unwrap().code, 1);
+}
+
+/// Guards memory: a length is no reason to take room, and frames in part have one bound for all.
+#[test]
+fn announced_frames_take_no_room() {
+    let rig = Rig::start();
+    let (_link, mut other) = rig.ready();
+    let half: Vec<u8> = [0, 4, 0, 0].into_iter().chain([1; 200_000]).collect();
+    let mut many: Vec<_> = (0..200).map(|_| rig.sidecar()).collect();
+    assert!(many.iter_mut().filter_map(|sidecar| sidecar.0.write_all(&half).ok()).count() > 100);
+    rig.logged("bad input");
+    assert_eq!(check(&mut other), 1);
+}
+
+/// Guards descriptors: past the budget connections wait to be accepted, and are taken when one ends.
+#[test]
+fn connections_past_the_budget_wait() {
+    let rig = Rig::with(|conf| conf["limits"]["sockets"] = json!(98));
+    let (_link, first) = rig.ready();
+    let (mut second, mut third) = (rig.sidecar(), rig.sidecar());
+    assert_eq!(check(&mut second), 1);
+    third.send(4, 0, &[], b"").unwrap();
+    rig.logged("no room for further connections");
+    drop(first);
+    assert_eq!(third.hear().unwrap().kind, 5);
+}
+
+/// Guards reqs that cross a close: an idle connection is told first, and closed only after.
+#[test]
+fn an_idle_connection_is_told_before_it_is_closed() {
+    // Many callers, each seldom: connections are not worth keeping.
+    let rig = Rig::with(|conf| conf["settings"]["family_info"]["upstreams"] = json!(500));
+    let (mut link, mut sidecar) = rig.ready();
+    let told = sidecar.hear().unwrap();
+    assert_eq!((told.kind, told.stream), (6, 0));
+    ask(&mut sidecar, 1, READ, &[], b"");
+    run_through(&mut link, 1, b"crossed");
+    assert_eq!(sidecar.hear().unwrap().body, b"crossed");
+    assert_eq!(sidecar.0.read(&mut [0]).unwrap(), 0);
+}
+
+/// Guards serving and reporting against a control plane that closes, answers oddly or says nothing.
+#[test]
+fn reports_go_on_whatever_the_control_plane_does() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    let replies = ["", "nonsense\r\n\r\n", "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"];
+    for reply in replies.into_iter().chain(["HTTP/1.1 204 No Content\r\n\r\n"]) {
+        let mut service = Service::accept(&rig.control).unwrap();
+        let asked = service.asked().unwrap();
+        assert_eq!(asked.line, "PUT /v2/endpoints/toy HTTP/1.1");
+        let body = String::from_utf8(asked.body).unwrap();
+        assert!([r#"{"condition":"Ready"}"#, r#"{"condition":"NotReady"}"#].contains(&body.as_str()));
+        service.0.get_mut().write_all(reply.as_bytes()).unwrap();
+        if reply.contains("204") {
+            assert_eq!(service.asked().unwrap().body, br#"{"condition":"Ready"}"#, "and serves the next");
+        }
+    }
+    ask(&mut sidecar, 1, READ, &[], b"");
+    run_through(&mut link, 1, b"");
+    assert_eq!(sidecar.hear().unwrap().code, 1);
+}
--- /dev/null
+++ b/crates/server/tests/serve/engine.rs
@@ -0,0 +1,103 @@
+//! The engine's link: late, broken, odd.
+use crate::rig::*;
+use std::io::Write;
+
+/// Guards checks and due times against an engine that has not come up: both are answered all the same.
+#[test]
+fn before_the_engine_is_there_checks_hear_bad_and_reqs_wait_for_it() {
+    let rig = Rig::start();
+    let mut sidecar = rig.sidecar();
+    assert_ne!(check(&mut sidecar), 1);
+    ask(&mut sidecar, 1, BRIEF, &[], b"");
+    let heard = sidecar.hear().unwrap();
+    assert_ne!((heard.stream, heard.code), (1, 1), "it fell due meanwhile");
+    ask(&mut sidecar, 2, READ, &[], b"");
+    assert_ne!(check(&mut sidecar), 1);
+    let mut link = rig.link(0);
+    assert_eq!(started(&mut link), id(2), "what is still open runs once the engine is there");
+    link.say_with(&format!("DONE 1 {} fine 1", id(2)), b"").unwrap();
+    assert_eq!(sidecar.hear().unwrap().code, 1);
+    assert_eq!(check(&mut sidecar), 1);
+}
+
+/// Guards against lost and repeated notices when the link breaks within a body.
+#[test]
+fn a_link_that_breaks_is_taken_up_after_the_last_whole_notice() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, READ, &[], b"a");
+    ask(&mut sidecar, 2, READ, &[], b"b");
+    let (first, second) = (started(&mut link), started(&mut link));
+    link.say_with(&format!("DONE 1 {first} fine 1"), b"whole").unwrap();
+    let half = format!("DONE 2 {second} fine 1 9\r\nhal");
+    link.0.get_mut().write_all(half.as_bytes()).unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"whole");
+    drop(link);
+    let mut link = rig.link(1);
+    link.say_with(&format!("DONE 1 {first} fine 1"), b"again").unwrap();
+    link.say_with(&format!("DONE 2 {second} fine 1"), b"half done").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.stream, heard.body.as_slice()), (2, &b"half done"[..]));
+}
+
+/// Guards effects: after a break only replayable runs are commanded again, the others are left to end.
+#[test]
+fn a_run_that_may_have_been_lost_is_repeated_only_where_that_is_harmless() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    for (n, class) in [(1, READ), (2, BUY), (3, PAY)] {
+        ask(&mut sidecar, n, class, &[], b"");
+        assert_eq!(started(&mut link), id(n.into()));
+    }
+    drop(link);
+    let mut link = rig.link(0);
+    assert_eq!(started(&mut link), id(1));
+    for n in 1..=3 {
+        link.say_with(&format!("DONE {n} {} fine 1", id(n)), b"").unwrap();
+        assert_eq!(sidecar.hear().unwrap().stream, n as u32);
+    }
+    ask(&mut sidecar, 4, READ, &[], b"");
+    assert_eq!(started(&mut link), id(4), "nothing but the next run was commanded");
+}
+
+/// Guards against a req whose run the engine refuses: it is answered, and the server goes on.
+#[test]
+fn a_refused_command_settles_its_req() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, PAY, &[], b"");
+    let run = started(&mut link);
+    link.say(&format!("NO RUN {run}")).unwrap();
+    assert_eq!(sidecar.hear().unwrap().code, 9);
+    link.say("SOMETHING new").unwrap();
+    link.say(&format!("NO HALT {run}")).unwrap();
+    ask(&mut sidecar, 2, READ, &[], b"");
+    run_through(&mut link, 1, b"");
+    assert_eq!(sidecar.hear().unwrap().code, 1);
+    rig.logged("an unknown notice");
+}
+
+/// Guards due answers against an engine that takes commands and says nothing more.
+#[test]
+fn a_silent_engine_stops_no_timer_and_no_check() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, BRIEF, &[], b"");
+    started(&mut link);
+    // From here on not even gauges come.
+    assert_eq!(sidecar.hear().unwrap().code, 9);
+    assert_eq!(check(&mut sidecar), 1, "checks hear what was set");
+}
+
+/// Guards the link against bytes that are no notice: it is closed and taken up again.
+#[test]
+fn a_link_that_talks_nonsense_is_replaced() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, BUY, &[], b"");
+    let run = started(&mut link);
+    link.say("DONE 1 nobody fine 1 0\r\n").unwrap();
+    let mut link = rig.link(0);
+    link.say_with(&format!("DONE 1 {run} fine 1"), b"").unwrap();
+    assert_eq!(sidecar.hear().unwrap().code, 1);
+}
--- /dev/null
+++ b/crates/server/tests/serve/leaving.rs
@@ -0,0 +1,41 @@
+//! Leaving on SIGTERM.
+use crate::rig::*;
+use serde_json::json;
+use std::time::Duration;
+
+/// Guards drains: all that was read is answered, what is new is refused or answered, and the end comes in time.
+#[test]
+fn all_that_was_read_is_answered_before_the_end() {
+    let mut rig = Rig::with(|conf| conf["stop_ms"] = json!(1_500));
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, PAY, &[], b"");
+    ask(&mut sidecar, 2, PAY, &[], b"");
+    let (first, _hangs) = (started(&mut link), started(&mut link));
+    rig.signal("-TERM");
+    let told = sidecar.hear().unwrap();
+    assert_eq!((told.kind, told.stream), (6, 0));
+    rig.signal("-TERM");
+    rig.logged("told to leave again");
+    let mut late = rig.sidecar();
+    assert_ne!(check(&mut late), 1, "checks hear that it leaves");
+    ask(&mut late, 3, READ, &[], b"");
+    link.say_with(&format!("DONE 1 {first} fine 1"), b"done").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"done");
+    // The second run never ends: its req is errored before the end.
+    let hung = sidecar.hear().unwrap();
+    assert_eq!((hung.stream, hung.code), (2, 9));
+    let heard = std::iter::from_fn(|| late.hear().ok()).filter(|h| h.kind == 2).map(|h| h.stream);
+    assert_eq!(heard.collect::<Vec<_>>(), [3], "one answer, whatever it is");
+    let (status, _) = rig.ended();
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Guards against staying on without need: once nothing is connected the server ends before its time.
+#[test]
+fn an_idle_server_ends_within_its_time() {
+    let mut rig = Rig::with(|conf| conf["stop_ms"] = json!(400));
+    drop(rig.ready());
+    rig.signal("-TERM");
+    let (status, time) = rig.ended();
+    assert!(status.code() == Some(0) && time < Duration::from_millis(400), "{time:?}");
+}
--- /dev/null
+++ b/crates/server/tests/serve/rig.rs
@@ -0,0 +1,177 @@
+//! The real binary on loopback, with stand-ins whose ports the system picks.
+use crate::peers::*;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+pub const READ: &str = "greet"; // replayable, its call can be skipped
+pub const BUY: &str = "order"; // uniqued
+pub const PAY: &str = "pay"; // non-replayable
+pub const BRIEF: &str = "brief"; // replayable, a client timeout of 300 ms
+
+pub fn settings() -> Value {
+    let mut conf: Value = serde_json::from_str(include_str!("../../../../examples/config.json")).unwrap();
+    let class = |name: &str, effect: &str, timeout: f64| {
+        json!({ "name": name, "effect": effect, "credit": 1.0, "late_value": 0.2, "aim_ms": timeout / 2.0,
+            "deadline_ms": timeout, "dedup_window_ms": 2500.0 })
+    };
+    let classes = conf["settings"]["classes"].as_array_mut().unwrap();
+    classes.extend([class(PAY, "once", 2_000.0), class(BRIEF, "repeatable", 300.0)]);
+    conf
+}
+
+/// A configuration in a file of its own.
+pub fn written(conf: &str) -> PathBuf {
+    let name = format!("cottondyke-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, conf).unwrap();
+    path
+}
+
+pub fn program(words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cottondyke"));
+    command.args(words).env_remove("GW_CONFIG").stderr(Stdio::piped()).stdout(Stdio::piped());
+    command
+}
+
+pub struct Rig {
+    child: Child,
+    path: PathBuf,
+    pub addr: SocketAddr,
+    pub engine: TcpListener,
+    pub records: TcpListener,
+    pub control: TcpListener,
+    pub log: Receiver<String>,
+}
+
+impl Rig {
+    pub fn start() -> Self {
+        Self::with(|_| {})
+    }
+
+    pub fn with(change: impl FnOnce(&mut Value)) -> Self {
+        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let (engine, records, control) = (bind(), bind(), bind());
+        let mut conf = settings();
+        conf["listen"] = json!("127.0.0.1:0");
+        for (key, listener) in [("engine", &engine), ("records", &records), ("control", &control)] {
+            conf[key] = json!(listener.local_addr().unwrap().to_string());
+        }
+        change(&mut conf);
+        let path = written(&conf.to_string());
+        let mut child = program(&["serve", "--config", path.to_str().unwrap()]).spawn().unwrap();
+        let (lines, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
+        let serving = |line: String| line.split_once("listen=").map(|(_, addr)| addr.trim().parse().unwrap());
+        let addr = log.iter().find_map(serving).expect("the server says where it listens");
+        Rig { child, path, addr, engine, records, control, log }
+    }
+
+    /// A link past its hello and the question that fences it off from the link before.
+    pub fn link(&self, last: u64) -> Link {
+        let mut link = Link::accept(&self.engine).unwrap();
+        assert_eq!(link.command().unwrap().0, ["ATTACH", &last.to_string()]);
+        link.say("HELLO running 5.0").unwrap();
+        let (words, _) = link.command().unwrap();
+        assert_eq!(words[0], "STAT", "the fence comes first");
+        link.say(&format!("STATS {} 0.5 1 0.1 3", words[1])).unwrap();
+        link
+    }
+
+    /// Both, once the server has seen the engine.
+    pub fn ready(&self) -> (Link, Sidecar) {
+        let (link, mut sidecar) = (self.link(0), self.sidecar());
+        while check(&mut sidecar) != 1 {}
+        (link, sidecar)
+    }
+
+    pub fn sidecar(&self) -> Sidecar {
+        Sidecar::connect(self.addr).unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
+    /// How the program ended, and how long that took.
+    pub fn ended(&mut self) -> (ExitStatus, Duration) {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return (status, start.elapsed());
+            }
+            assert!(start.elapsed() < PATIENCE, "the server does not end");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    pub fn logged(&self, words: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).expect(words);
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// The code that a health check hears.
+pub fn check(sidecar: &mut Sidecar) -> u8 {
+    sidecar.send(4, 0, &[("deep", "1")], b"").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!(heard.kind, 5);
+    heard.code
+}
+
+/// An id that differs for each number.
+pub fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// Sends a req whose stream and id are `number`.
+pub fn ask(sidecar: &mut Sidecar, number: u32, class: &str, more: &[(&str, &str)], body: &[u8]) {
+    let (id, at) = (id(number.into()), unix_ms().to_string());
+    let mut fields = vec![("class", class), ("id", &id), ("at", &at), ("from", "1"), ("kb", "10.0")];
+    fields.extend(more);
+    sidecar.send(1, number, &fields, body).unwrap();
+}
+
+/// The engine's side of a run that is told to start now.
+pub fn started(link: &mut Link) -> String {
+    let (words, _) = link.order().unwrap();
+    assert_eq!(words[0], "RUN", "{words:?}");
+    words[1].clone()
+}
+
+/// The engine's side of a whole run: told to start, done with this result.
+pub fn run_through(link: &mut Link, notice: u64, result: &[u8]) {
+    let run = started(link);
+    link.say_with(&format!("DONE {notice} {run} fine 1"), result).unwrap();
+}
+
+/// What the program says of a configuration, and its exit code.
+pub fn said(words: &[&str]) -> (Option<i32>, String) {
+    let mut child = program(words).spawn().unwrap();
+    let status = child.wait().unwrap();
+    let mut text = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+    (status.code(), text)
+}
--- /dev/null
+++ b/crates/server/tests/serve/start.rs
@@ -0,0 +1,54 @@
+//! The command line and configurations that are no good.
+use crate::rig::*;
+use serde_json::{json, Value};
+use std::net::TcpListener;
+
+type Spoil = fn(&mut Value);
+
+/// Guards newcomers and operators: one line that names what is wrong, and an exit code that says so.
+#[test]
+fn a_bad_configuration_is_told_in_one_line() {
+    let cases: [(&str, Spoil); 10] = [
+        ("engine", |c| c["engine"] = json!("nowhere")),
+        ("listen", |c| c["listen"] = json!(5)),
+        ("settings", |c| c["settings"] = json!([])),
+        ("family_info", |c| c["settings"]["family_info"] = json!(null)),
+        ("n_cores", |c| c["settings"]["family_info"]["n_cores"] = json!(0)),
+        ("n_cores", |c| c["settings"]["family_info"]["n_cores"] = json!(1e9)),
+        ("effect", |c| c["settings"]["classes"][0]["effect"] = json!("maybe")),
+        ("classes", |c| c["settings"]["classes"] = json!([])),
+        ("sockets", |c| c["limits"]["sockets"] = json!(3)),
+        ("seed", |c| c["seed"] = json!("xyz")),
+    ];
+    for (names, spoil) in cases {
+        let mut conf = settings();
+        spoil(&mut conf);
+        let path = written(&conf.to_string());
+        for command in ["check", "serve"] {
+            let (code, text) = said(&[command, "--config", path.to_str().unwrap()]);
+            assert_eq!((code, text.lines().count()), (Some(2), 1), "{text}");
+            assert!(text.contains(names), "{names}: {text}");
+        }
+        std::fs::remove_file(path).unwrap();
+    }
+    let path = written("{ not JSON");
+    assert!(said(&["check", "--config", path.to_str().unwrap()]).1.contains("not JSON"));
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(said(&["check", "--config", path.to_str().unwrap()]).0, Some(2), "a missing file");
+    assert_eq!(said(&["serve"]).0, Some(2), "no file named");
+    assert_eq!(said(&["dance"]).0, Some(2));
+    assert_eq!(said(&["version"]).0, Some(0));
+}
+
+/// Guards against two servers on one address: the second says so and ends.
+#[test]
+fn an_address_in_use_is_told() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut conf = settings();
+    conf["listen"] = json!(taken.local_addr().unwrap().to_string());
+    let path = written(&conf.to_string());
+    assert_eq!(said(&["check", "--config", path.to_str().unwrap()]).0, Some(0));
+    let (code, text) = said(&["serve", "--config", path.to_str().unwrap()]);
+    std::fs::remove_file(path).unwrap();
+    assert!(code == Some(1) && text.contains("cannot listen"), "{code:?} {text}");
+}
--- /dev/null
+++ b/crates/server/tests/wire.rs
@@ -0,0 +1,261 @@
+//! The parsers, fed every split and fuzzed bytes; and the small parts that need no socket.
+#[allow(dead_code)]
+#[path = "../../../examples/toy/peers.rs"]
+mod peers;
+
+use cottondyke::drain::{stage, Stage};
+use cottondyke::keys::{Keys, Outcome};
+use cottondyke::wire::engine::{self, Command, Notice};
+use cottondyke::wire::http;
+use cottondyke::wire::sidecar::{self, Message, Names, Reply, Stream};
+use cottondyke::wire::WireId;
+use cottondyke_decide::types::{CustomerId, HandlerId, ReqId, RunEnd, Time};
+use peers::{frame, payload};
+use quickcheck::{quickcheck, TestResult};
+use std::fmt::Debug;
+use std::rc::Rc;
+
+fn names() -> Rc<Names> {
+    let handlers = ["browse", "checkout"].map(String::from).to_vec();
+    Rc::new(Names { handlers, customers: vec!["acme".to_string()] })
+}
+
+/// What each protocol's decoder makes of bytes that come in pieces.
+trait Parser: Sized {
+    type Out: Debug + PartialEq;
+    fn fresh() -> Self;
+    fn take(&mut self, bytes: &[u8]) -> Vec<Result<Self::Out, ()>>;
+
+    fn all(pieces: &[&[u8]]) -> Vec<Result<Self::Out, ()>> {
+        let mut parser = Self::fresh();
+        let mut out = Vec::new();
+        for piece in pieces {
+            out.extend(parser.take(piece));
+            if out.last().is_some_and(Result::is_err) {
+                break;
+            }
+        }
+        out
+    }
+}
+
+macro_rules! parser {
+    ($decoder:ty, $fresh:expr, $out:ty, $next:ident) => {
+        impl Parser for $decoder {
+            type Out = $out;
+            fn fresh() -> Self {
+                $fresh
+            }
+            fn take(&mut self, bytes: &[u8]) -> Vec<Result<Self::Out, ()>> {
+                self.feed(bytes);
+                let mut out = Vec::new();
+                while out.last().is_none_or(Result::is_ok) {
+                    match self.$next() {
+                        Ok(Some(one)) => out.push(Ok(one)),
+                        Ok(None) => break,
+                        Err(_) => out.push(Err(())),
+                    }
+                }
+                out
+            }
+        }
+    };
+}
+
+parser!(sidecar::Decoder, sidecar::Decoder::new(names()), Message, message);
+parser!(engine::Decoder, engine::Decoder::default(), Notice, notice);
+parser!(http::Decoder, http::Decoder::default(), http::Reply, reply);
+
+/// The same comes of the bytes whole, in two pieces at every place, and one by one.
+fn splits<P: Parser>(bytes: &[u8]) -> Vec<Result<P::Out, ()>> {
+    let whole = P::all(&[bytes]);
+    for at in 0..=bytes.len() {
+        assert_eq!(P::all(&[&bytes[..at], &bytes[at..]]), whole, "split at {at}");
+    }
+    assert_eq!(P::all(&bytes.chunks(1).collect::<Vec<_>>()), whole);
+    whole
+}
+
+const FIELDS: [(&str, &str); 9] = [
+    ("class", "checkout"),
+    ("id", "9b1f03aa5c7e2d41"),
+    ("at", "1764576000123"),
+    ("from", "4"),
+    ("tenant", "acme"),
+    ("retry", "1"),
+    ("cost", "12.50"),
+    ("kb", "24.5"),
+    ("rank", "0.6250"),
+];
+
+#[test]
+fn frames_come_through_any_split() {
+    let mut bytes = frame(1, 1, &payload(&FIELDS, b"\x00\r\n\xff"));
+    bytes.extend(frame(4, 7, &payload(&[("deep", "1")], b"")));
+    bytes.extend(frame(1, 2, &payload(&FIELDS[1..], b"")));
+    let out = splits::<sidecar::Decoder>(&bytes);
+    let Ok(Message::Req(req)) = &out[0] else { panic!("{out:?}") };
+    assert_eq!((req.handler, req.customer, req.retry), (HandlerId(1), Some(CustomerId(0)), true));
+    assert_eq!(
+        (req.at, req.hint, req.kb, req.body.as_slice()),
+        (1764576000123, Some(12.5), 24.5, &b"\x00\r\n\xff"[..])
+    );
+    assert_eq!(out[1], Ok(Message::Check { stream: Stream(7), deep: true }));
+    assert_eq!(out[2], Ok(Message::Unfit(Stream(2), "class missing")));
+}
+
+/// Guards against waiting for a frame that cannot come: its length is judged from the first four bytes.
+#[test]
+fn a_length_out_of_bounds_is_told_before_the_frame_comes() {
+    for (length, fits) in [(4u32, false), (5, true), (262_144, true), (262_145, false), (u32::MAX, false)] {
+        let out = sidecar::Decoder::all(&[&length.to_be_bytes()]);
+        assert_eq!(out.is_empty(), fits, "{length}");
+    }
+}
+
+/// Guards streams against a second use, in whatever order their numbers come, and the notes on them against growth.
+#[test]
+fn each_stream_is_used_once() {
+    let used = |numbers: &[u32]| {
+        let frames: Vec<_> = numbers.iter().map(|n| frame(1, *n, &payload(&[], b""))).collect();
+        sidecar::Decoder::all(&frames.iter().map(Vec::as_slice).collect::<Vec<_>>()).last().unwrap().is_ok()
+    };
+    assert!(used(&[1, 2, 3]) && used(&[2, 1, 5, 4, 3]) && used(&[1, u32::MAX]));
+    assert!(!used(&[1, 1]) && !used(&[3, 1, 3]) && !used(&[0]) && !used(&[5, 6, 2, 1, 2]));
+    let odd: Vec<u32> = (0..5_000).map(|n| n * 2 + 1).collect();
+    assert!(used(&odd) && !used(&[&odd[..], &[3]].concat()));
+}
+
+#[test]
+fn notices_come_through_any_split() {
+    let bytes = b"HELLO starting 12.5\r\nNOTE 1 odd DONE 3\r\nNEED 2 9b1f03aa5c7e2d41 4\r\n\r\n\r\n\r\n\
+        DONE 3 9b1f03aa5c7e2d41 broken_off 8 0\r\n\r\nSTATS 7 0.5 x 3\r\nTESTED 8 fault\r\nNO RUN zz\r\nNEWS 1\r\n";
+    let id = WireId::new("9b1f03aa5c7e2d41").unwrap();
+    let out: Vec<_> = splits::<engine::Decoder>(bytes).into_iter().map(Result::unwrap).collect();
+    assert_eq!(out[0], Notice::Hello { age_ms: 12.5 });
+    assert_eq!(out[2], Notice::Need { no: engine::NoticeNo(2), id, body: b"\r\n\r\n".to_vec() });
+    let done = Notice::Done { no: engine::NoticeNo(3), id, end: RunEnd::Stopped, result: Vec::new() };
+    assert_eq!(out[3], done);
+    assert_eq!(out[5], Notice::Tested { tag: engine::Tag(8), good: false });
+    assert_eq!(out[6], Notice::Refused { command: "RUN".to_string(), id: None });
+    assert_eq!(out[7], Notice::Unknown("NEWS 1".to_string()));
+    for bad in ["DONE 1 x fine 1 0\r\n\r\n", "NEED 1 9b1f03aa5c7e2d41 99999999999\r\n", "HELLO a -1\r\n"] {
+        assert_eq!(splits::<engine::Decoder>(bad.as_bytes()).last(), Some(&Err(())), "{bad}");
+    }
+}
+
+#[test]
+fn commands_stand_as_the_engine_reads_them() {
+    let id = WireId::new("9b1f03aa5c7e2d41").unwrap();
+    let mut bytes = Vec::new();
+    let run = Command::Run { id, class: "browse".into(), body: b"\r\n".as_slice().into() };
+    [run, Command::Skip(id, engine::NoticeNo(4)), Command::Halt(id)]
+        .iter()
+        .for_each(|c| c.encode(&mut bytes));
+    let lines =
+        "RUN 9b1f03aa5c7e2d41 browse 2\r\n\r\n\r\nSKIP 9b1f03aa5c7e2d41 4\r\nHALT 9b1f03aa5c7e2d41\r\n";
+    assert_eq!(String::from_utf8(bytes).unwrap(), lines);
+}
+
+#[test]
+fn http_replies_come_through_any_split() {
+    let ok = |bytes: &str| splits::<http::Decoder>(bytes.as_bytes()).remove(0).unwrap();
+    let plain = ok("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-LENGTH: 4\r\n\r\n\r\n\r\n");
+    assert_eq!((plain.status, plain.body.as_slice(), plain.keeps), (200, &b"\r\n\r\n"[..], true));
+    let away = ok("HTTP/1.1 503 No\r\nOp-Not-Begun: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!((away.not_begun, away.keeps), (true, false));
+    let chunks = ok("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\nA\r\n0123456789\r\n0\r\nX: y\r\n\r\n");
+    assert_eq!(chunks.body, b"ab0123456789");
+    assert_eq!(ok("HTTP/1.1 204 No Content\r\n\r\n").body, b"");
+    let mut until_close = http::Decoder::default();
+    until_close.feed(b"HTTP/1.0 200 OK\r\n\r\nall of it");
+    assert_eq!(until_close.reply().unwrap(), None);
+    assert_eq!(until_close.ended().unwrap().body, b"all of it");
+    let huge = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
+    for bad in
+        ["SMTP 200\r\n\r\n", "HTTP/1.1 20\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", huge]
+    {
+        assert_eq!(splits::<http::Decoder>(bad.as_bytes()).last(), Some(&Err(())), "{bad}");
+    }
+}
+
+/// Bytes near to real messages: one with some places changed.
+fn spoiled(good: &[u8], changes: &[(usize, u8)]) -> Vec<u8> {
+    let mut bytes = good.to_vec();
+    for (at, byte) in changes {
+        let at = at % bytes.len();
+        bytes[at] = *byte;
+    }
+    bytes
+}
+
+fn steady<P: Parser>(bytes: &[u8], cut: usize) -> TestResult {
+    let cut = cut % (bytes.len() + 1);
+    TestResult::from_bool(P::all(&[bytes]) == P::all(&[&bytes[..cut], &bytes[cut..]]))
+}
+
+quickcheck! {
+    /// Nothing panics on any bytes, and a split changes nothing.
+    fn any_bytes_are_safe(bytes: Vec<u8>, cut: usize) -> bool {
+        ![steady::<sidecar::Decoder>(&bytes, cut), steady::<engine::Decoder>(&bytes, cut),
+            steady::<http::Decoder>(&bytes, cut)].iter().any(TestResult::is_failure)
+    }
+
+    fn spoiled_frames_are_safe(changes: Vec<(usize, u8)>, cut: usize) -> TestResult {
+        steady::<sidecar::Decoder>(&spoiled(&frame(1, 1, &payload(&FIELDS, b"body")).repeat(2), &changes), cut)
+    }
+
+    fn spoiled_notices_are_safe(changes: Vec<(usize, u8)>, cut: usize) -> TestResult {
+        let good = b"NEED 2 9b1f03aa5c7e2d41 4\r\nbody\r\nDONE 3 9b1f03aa5c7e2d41 fine 8 2\r\nok\r\n";
+        steady::<engine::Decoder>(&spoiled(good, &changes), cut)
+    }
+
+    fn spoiled_replies_are_safe(changes: Vec<(usize, u8)>, cut: usize) -> TestResult {
+        let good = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+        steady::<http::Decoder>(&spoiled(good, &changes), cut)
+    }
+
+    /// What the server says can be read back by the sidecar's rules, whatever the body.
+    fn answers_are_whole_frames(stream: u32, body: Vec<u8>, say: Option<u16>) -> bool {
+        let mut bytes = Vec::new();
+        Reply::Done(Stream(stream), body.clone()).encode(say.map(f64::from), &mut bytes);
+        let fields = say.map(|s| ("say", s.to_string()));
+        let fields: Vec<_> = fields.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        bytes == frame(2, stream, &[vec![1], payload(&fields, &body)].concat())
+    }
+
+    /// The table of repeats knows an entry until its end and not after, and keeps no more than it was told.
+    fn keys_end_when_they_should(spans: Vec<u8>) -> bool {
+        let mut keys = Keys::default();
+        let key = |n: usize| (HandlerId(0), n.to_string().into_boxed_str());
+        for (n, span) in spans.iter().enumerate() {
+            keys.keep(ReqId(n as u32), key(n), Some(Time(i64::from(*span))));
+        }
+        (0..=255).all(|now| spans.iter().enumerate().all(|(n, span)| {
+            keys.repeats(Time(now), &key(n)).is_some() == (i64::from(*span) > now)
+        }))
+    }
+}
+
+/// Guards memory: results kept for repeats are bounded, and the oldest go first.
+#[test]
+fn kept_results_are_bounded() {
+    let mut keys = Keys::default();
+    let result: Rc<[u8]> = vec![0; 1 << 20].into();
+    for n in 0..40 {
+        keys.keep(ReqId(n), (HandlerId(0), n.to_string().into()), Some(Time(1_000)));
+        keys.ended(Time(0), ReqId(n), Some(result.clone()), Time(0));
+    }
+    let held = |n| matches!(keys.outcome(ReqId(n)), Some(Outcome::Done(Some(_))));
+    assert_eq!((0..40).filter(|n| held(*n)).collect::<Vec<_>>(), (24..40).collect::<Vec<_>>());
+}
+
+#[test]
+fn leaving_goes_through_its_stages_in_time() {
+    let at = |ms: i64| stage(Some(Time(0)), Time(32_000), Time(ms * 10));
+    assert_eq!(
+        [at(0), at(2_700), at(2_900), at(3_100)],
+        [Stage::Leaving, Stage::Leaving, Stage::Closed, Stage::Ended]
+    );
+    assert_eq!(stage(None, Time(32_000), Time(1 << 40)), Stage::Serving);
+}
--- /dev/null
+++ b/examples/toy/main.rs
@@ -0,0 +1,106 @@
+//! A toy for trying the server: `toy` stands in for engine, records service and control plane, `toy send TEXT`
+//! sends one req as a sidecar would. Addresses are those of `examples/config.json`.
+#[allow(dead_code)] // the server's tests use the rest
+mod peers;
+use peers::*;
+use std::io;
+use std::net::TcpListener;
+use std::thread;
+
+const SERVER: &str = "127.0.0.1:6565";
+const ENGINE: &str = "127.0.0.1:7300";
+const RECORDS: &str = "127.0.0.1:8900";
+const CONTROL: &str = "127.0.0.1:8761";
+
+/// Every run asks for one call, and its result is the req's body and the call's reply.
+fn engine(mut link: Link) -> io::Result<()> {
+    link.0.get_ref().set_read_timeout(None)?;
+    let mut number = 0;
+    let mut bodies = std::collections::BTreeMap::new();
+    loop {
+        let (words, body) = link.order()?;
+        let word = |at: usize| words.get(at).map_or("", String::as_str);
+        number += 1;
+        match word(0) {
+            "ATTACH" => link.say("HELLO running 0")?,
+            "RUN" => {
+                println!("engine: runs {} of {}", word(1), word(2));
+                bodies.insert(word(1).to_string(), body);
+                link.say_with(&format!("NEED {number} {}", word(1)), b"stock of everything")?;
+            }
+            "FEED" => {
+                let mut result = bodies.remove(word(1)).unwrap_or_default();
+                result.extend(b" - ");
+                result.extend(body);
+                link.say_with(&format!("DONE {number} {} fine 1.0", word(1)), &result)?;
+            }
+            "HALT" => link.say_with(&format!("DONE {number} {} broken_off 1.0", word(1)), b"")?,
+            "SKIP" => link.say_with(&format!("DONE {number} {} fine 1.0", word(1)), b"without the call")?,
+            "TEST" => link.say(&format!("TESTED {} fine", word(1)))?,
+            _ => {}
+        }
+    }
+}
+
+fn service(name: &'static str, listener: TcpListener, status: &'static str, reply: &'static [u8]) {
+    for stream in listener.incoming().flatten() {
+        thread::spawn(move || {
+            let mut service = Service(io::BufReader::new(stream));
+            while let Ok(asked) = service.asked() {
+                println!("{name}: {} {}", asked.line, String::from_utf8_lossy(&asked.body));
+                if service.reply(status, "", reply).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn serve() -> io::Result<()> {
+    let (runs, records, control) =
+        (TcpListener::bind(ENGINE)?, TcpListener::bind(RECORDS)?, TcpListener::bind(CONTROL)?);
+    println!("engine on {ENGINE}, records on {RECORDS}, control plane on {CONTROL}");
+    thread::spawn(move || service("records", records, "200 OK", b"all in stock"));
+    thread::spawn(move || service("control", control, "204 No Content", b""));
+    for stream in runs.incoming() {
+        if let Err(error) = engine(Link(io::BufReader::new(stream?))) {
+            println!("engine: the link ended ({error})");
+        }
+    }
+    Ok(())
+}
+
+fn send(text: &str) -> io::Result<()> {
+    let mut sidecar = Sidecar::connect(SERVER.parse().map_err(io::Error::other)?)?;
+    let (id, at) = (format!("{:016x}", unix_ms()), unix_ms().to_string());
+    let fields = [
+        ("class", "greet"),
+        ("id", id.as_str()),
+        ("at", at.as_str()),
+        ("from", "0"),
+        ("cost", "5.00"),
+        ("kb", "8.0"),
+        ("rank", "0.5000"),
+    ];
+    sidecar.send(1, 1, &fields, text.as_bytes())?;
+    let heard = sidecar.hear()?;
+    let code = match heard.code {
+        1 => "done",
+        0 => "shed",
+        _ => "errored",
+    };
+    println!("{code} {:?}: {}", heard.fields, String::from_utf8_lossy(&heard.body));
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match words.first().map(String::as_str) {
+        None => serve(),
+        Some("send") => send(&words[1..].join(" ")),
+        Some(_) => {
+            eprintln!("usage: toy [send TEXT]");
+            std::process::exit(2);
+        }
+    }
+}
