Read no more from a sidecar that was cut off; a panic's guard of its own, with its test

A sidecar that asked and read nothing was let go by the desk while its reader went on: intake::read now ends with its outlet, and a write that makes no way is given up after 5 s. The stand-in engine answered questions for gauges without end, which let a failing test hang; it now has a bound.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -8,6 +8,7 @@
 use async_lock::Semaphore;
 use futures_lite::future;
 use futures_lite::FutureExt;
+use std::future::Future;
 use std::net::TcpListener;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -50,9 +51,7 @@
                 next += 1;
                 let task = async move {
                     let serve = intake::serve(conn, stream, names, parts, desk.clone());
-                    if AssertUnwindSafe(serve).catch_unwind().await.is_err() {
-                        tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
-                    }
+                    guarded(conn, serve).await;
                     let _ = desk.send(Input::Closed(conn)).await;
                     drop(place);
                 };
@@ -65,3 +64,24 @@
         }
     }
 }
+
+/// Serves a connection; a panic in its handling ends that connection alone.
+async fn guarded(conn: ConnId, serving: impl Future<Output = ()>) {
+    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
+        tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the other connections: the executor goes on after one of its tasks panicked.
+    #[test]
+    fn a_panic_stays_with_its_connection() {
+        let executor = LocalExecutor::new();
+        executor.spawn(guarded(ConnId(1), async { panic!("on purpose") })).detach();
+        let other = executor.spawn(guarded(ConnId(2), async {}));
+        future::block_on(executor.run(other));
+    }
+}
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// A sidecar that takes nothing for this long is given up.
-const STUCK: Duration = Duration::from_secs(30);
+const STUCK: Duration = Duration::from_secs(5);
 /// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms.
 const CROSSING: Time = SECOND;
 
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -75,7 +75,8 @@
 
     /// Settings that no server can have.
     fn plausible(&self) -> Result<(), Wrong> {
-        let part = |key: &str| self.settings.get(key).ok_or(format!("{key} is missing"));
+        let part =
+            |key: &str| self.settings.get(key).filter(|p| p.is_object()).ok_or(format!("{key} is missing"));
         let (info, rules) = (part("family_info")?, part("obligations")?);
         let within = |of: &Value, key: &str, least: f64, most: f64| {
             let number = settings::number(of, key)?;
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -3,7 +3,7 @@
 use crate::desk::{ConnId, Input};
 use crate::wire::sidecar::{Decoder, Message, Names};
 use crate::wire::Malformed;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt};
 use std::cell::Cell;
@@ -53,8 +53,9 @@
         return;
     }
     let open = Cell::new(0);
+    let over = parcels.clone();
     let reading = async {
-        let last = match read(conn, &stream, names, Part(parts, 0), &desk, &open).await {
+        let last = match read(conn, &stream, names, Part(parts, 0), &desk, &open, &over).await {
             Ok(()) => Input::Finished(conn),
             Err(Malformed(why)) => Input::Malformed(conn, why),
         };
@@ -75,10 +76,10 @@
     }
 }
 
-/// Reads until the sidecar ends its side.
+/// Reads until the sidecar ends its side, or the desk has let it go.
 async fn read(
     conn: ConnId, stream: &Async<TcpStream>, names: Rc<Names>, mut part: Part, desk: &Sender<Input>,
-    open: &Cell<usize>,
+    open: &Cell<usize>, over: &Receiver<Parcel>,
 ) -> Result<(), Malformed> {
     let mut decoder = Decoder::new(names);
     let mut bytes = vec![0; READ];
@@ -88,6 +89,10 @@
             let midway = decoder.midway() > 0;
             return if midway { Err(Malformed("the connection ended in a frame")) } else { Ok(()) };
         }
+        // Nothing more is taken from a sidecar that was cut off.
+        if over.is_closed() {
+            return Ok(());
+        }
         decoder.feed(&bytes[..count]);
         while let Some(message) = decoder.message()? {
             let input = match message {
--- a/crates/server/tests/serve/conns.rs
+++ b/crates/server/tests/serve/conns.rs
@@ -55,6 +55,7 @@
     let rig = Rig::start();
     let (mut link, mut other) = rig.ready();
     let mut rude = rig.sidecar();
+    rude.0.set_write_timeout(Some(std::time::Duration::from_secs(1))).unwrap();
     let checks: Vec<u8> = (0..4_096).flat_map(|_| frame(4, 0, &payload(&[], b""))).collect();
     while rude.0.write_all(&checks).is_ok() {}
     rig.logged("a sidecar reads nothing");
@@ -92,7 +93,10 @@
 #[test]
 fn an_idle_connection_is_told_before_it_is_closed() {
     // Many callers, each seldom: connections are not worth keeping.
-    let rig = Rig::with(|conf| conf["settings"]["family_info"]["upstreams"] = json!(500));
+    let rig = Rig::with(|conf| {
+        let info = &mut conf["settings"]["family_info"];
+        (info["upstreams"], info["idle_ms"]) = (json!(500), json!(15_000.0));
+    });
     let (mut link, mut sidecar) = rig.ready();
     let told = sidecar.hear().unwrap();
     assert_eq!((told.kind, told.stream), (6, 0));
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -129,7 +129,7 @@
 #[test]
 fn notices_come_through_any_split() {
     let bytes = b"HELLO starting 12.5\r\nNOTE 1 odd DONE 3\r\nNEED 2 9b1f03aa5c7e2d41 4\r\n\r\n\r\n\r\n\
-        DONE 3 9b1f03aa5c7e2d41 broken_off 8 0\r\n\r\nSTATS 7 0.5 x 3\r\nTESTED 8 fault\r\nNO RUN zz\r\nNEWS 1\r\n";
+        DONE 3 9b1f03aa5c7e2d41 broken_off 8 0\r\n\r\nSTATS 7 0.5 1 3\r\nTESTED 8 fault\r\nNO RUN zz\r\nNEWS 1\r\n";
     let id = WireId::new("9b1f03aa5c7e2d41").unwrap();
     let out: Vec<_> = splits::<engine::Decoder>(bytes).into_iter().map(Result::unwrap).collect();
     assert_eq!(out[0], Notice::Hello { age_ms: 12.5 });
--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -18,7 +18,10 @@
     let mut number = 0;
     let mut bodies = std::collections::BTreeMap::new();
     loop {
-        let (words, body) = link.order()?;
+        let (words, body) = match link.order() {
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => continue,
+            order => order?,
+        };
         let word = |at: usize| words.get(at).map_or("", String::as_str);
         number += 1;
         match word(0) {
--- a/examples/toy/peers.rs
+++ b/examples/toy/peers.rs
@@ -139,7 +139,11 @@
 
     /// The next command that is no question for gauges; those are answered.
     pub fn order(&mut self) -> io::Result<Command> {
+        let until = Instant::now() + PATIENCE;
         loop {
+            if Instant::now() > until {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             let (words, body) = self.command()?;
             if words[0] != "STAT" {
                 return Ok((words, body));
