--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -225,6 +225,9 @@
         self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
         self.records.retire();
+        if self.engine.overdue(now) {
+            self.engine.resume(Vec::new());
+        }
         if now >= self.next_tally {
             self.next_tally = now + TALLY;
             std::mem::take(&mut self.tally).log();
@@ -295,7 +298,7 @@
     /// program could observe anything. Nothing has run by then: what is open arrives anew.
     fn engine_up(&mut self, now: Time, age_ms: f64, outlet: Sender<Command>) {
         let first = !self.engine.greeted;
-        self.engine.up(outlet);
+        self.engine.up(now, outlet);
         tracing::info!(first, age_ms, "the engine is there");
         if !first {
             return;
@@ -307,6 +310,10 @@
         self.engine.forget();
         self.wakes.clear();
         self.wake(now, Gauges::default());
+        if let Some(notice) = self.notice {
+            let results = self.decider.leaving(now, notice + self.left() - now);
+            self.carry_all(now, results);
+        }
         let open: Vec<_> = self.reqs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect();
         for id in open {
             let Some(entry) = self.reqs.get_mut(&id) else { continue };
--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -4,6 +4,7 @@
 use crate::wire::WireId;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
+use cottondyke_decide::types::{Time, SECOND};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
@@ -15,6 +16,7 @@
 /// Commands that may wait while the engine reads none; past that no halt is repeated. All others are one a req.
 const MOST_WAITING: usize = 1_024;
 const READ: usize = 16_384;
+const FENCE_WITHIN: Time = SECOND;
 
 /// Connects again and again, with growing pauses; the notices read whole are never asked for again.
 pub async fn keep(addr: SocketAddr, desk: Sender<Input>) {
@@ -135,8 +137,9 @@
 #[derive(Default)]
 pub struct Engine {
     outlet: Option<Sender<Command>>,
-    /// After a link was taken up again, its answer shows that all earlier notices are read.
-    fence: Option<Tag>,
+    /// After a link was taken up again, its answer shows that all earlier notices are read. It is waited for
+    /// until the time beside it.
+    fence: Option<(Tag, Time)>,
     backlog: Vec<Command>,
     tags: u64,
     /// Gauges that were asked for and have not come: one question at a time.
@@ -146,10 +149,10 @@
 }
 
 impl Engine {
-    pub fn up(&mut self, outlet: Sender<Command>) {
+    pub fn up(&mut self, now: Time, outlet: Sender<Command>) {
         self.greeted = true;
         self.outlet = Some(outlet);
-        self.fence = self.ask(Command::Stat);
+        self.fence = self.ask(Command::Stat).map(|tag| (tag, now + FENCE_WITHIN));
     }
 
     /// What was not sent whole was not carried out: it waits, as what comes meanwhile does.
@@ -161,11 +164,12 @@
 
     /// True once the fence is passed: now the backlog can go out.
     pub fn passed(&mut self, tag: Tag) -> bool {
-        let passed = self.fence == Some(tag);
-        if passed {
-            self.fence = None;
-        }
-        passed
+        self.fence.take_if(|(fence, _)| *fence == tag).is_some()
+    }
+
+    /// True once, when the fence has not been answered in time: what waited can wait no longer.
+    pub fn overdue(&mut self, now: Time) -> bool {
+        self.fence.take_if(|(_, until)| *until <= now).is_some()
     }
 
     /// Sends what waited, after runs that may have been lost with the last link.
