--- a/crates/server/src/call.rs
+++ b/crates/server/src/call.rs
@@ -5,7 +5,7 @@
 use async_io::{Async, Timer};
 use cottondyke_decide::types::{CallEnd, Time};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -44,14 +44,21 @@
 
     /// Makes a call, for `cap` at the most. Dropping the future closes the connection, which gives it up.
     pub async fn call(&self, of: WireId, body: Vec<u8>, cap: Time) -> Result<Vec<u8>, CallError> {
+        let sending = Cell::new(false);
         let late = async {
             Timer::after(duration(cap)).await;
-            Err(CallError::MaybeBegun("timed out"))
+            Err(if sending.get() {
+                CallError::MaybeBegun("timed out")
+            } else {
+                CallError::NotBegun("timed out")
+            })
         };
-        self.attempt(of, body, cap).or(late).await
+        self.attempt(of, body, cap, &sending).or(late).await
     }
 
-    async fn attempt(&self, of: WireId, body: Vec<u8>, cap: Time) -> Result<Vec<u8>, CallError> {
+    async fn attempt(
+        &self, of: WireId, body: Vec<u8>, cap: Time, sending: &Cell<bool>,
+    ) -> Result<Vec<u8>, CallError> {
         let mut stream = match self.idle_connection().await {
             Some(stream) => stream,
             None => self.connect().await?,
@@ -60,6 +67,7 @@
         let headers = [("Op-Of", of.as_str()), ("Op-Wait-Ms", wait.as_str())];
         let mut bytes = Vec::new();
         http::request("POST", PATH, &self.addr.to_string(), &headers, &body, &mut bytes);
+        sending.set(true);
         stream.write_all(&bytes).await.map_err(|_| CallError::MaybeBegun("broke while it was sent"))?;
         let reply = read_reply(&mut stream).await?;
         if reply.keeps {
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -18,7 +18,6 @@
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::*;
 use futures_lite::FutureExt;
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -126,7 +125,7 @@
     records: Rc<Records>,
     keys: Keys,
     health: Health,
-    ready: Rc<Cell<bool>>,
+    ready: Sender<bool>,
     wakes: BTreeSet<Time>,
     /// Gauges asked for, and until when they are waited for.
     asked: Option<(Tag, Time)>,
@@ -142,7 +141,7 @@
 impl Desk {
     pub fn new(
         config: Rc<Config>, decider: Decider, clock: Clock, executor: Rc<LocalExecutor<'static>>,
-        inputs: Sender<Input>, ready: Rc<Cell<bool>>, close: Sender<()>,
+        inputs: Sender<Input>, ready: Sender<bool>, close: Sender<()>,
     ) -> Self {
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
         let records = Rc::new(Records::new(config.records));
@@ -583,8 +582,9 @@
             }
         }
         if let Some(good) = results.health.filter(|_| self.engine.greeted) {
-            self.health.set(good);
-            self.ready.set(good);
+            if self.health.set(good) {
+                let _ = self.ready.try_send(good);
+            }
         }
         self.outlets.say = results.advice.or(self.outlets.say);
         if let Some(idle) = results.trim {
--- a/crates/server/src/health.rs
+++ b/crates/server/src/health.rs
@@ -18,8 +18,9 @@
 }
 
 impl Health {
-    pub fn set(&mut self, good: bool) {
-        self.stored = Some(good);
+    /// True if that is news.
+    pub fn set(&mut self, good: bool) -> bool {
+        self.stored.replace(good) != Some(good)
     }
 
     /// What a check hears at once; none where only a test can tell.
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -1,25 +1,29 @@
-//! Reports to the control plane, about one each second. It may be down, slow or odd: serving goes on.
+//! Reports to the control plane, one each second and one at each change. It may be down, slow or odd: serving goes on.
 use crate::wire::http::{self, Decoder};
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
 use std::time::Duration;
 
 const EACH: Duration = Duration::from_secs(1);
 const LIMIT: Duration = Duration::from_millis(800);
 
-/// Reports until the program ends; `ready` is what health checks hear.
-pub async fn keep(addr: SocketAddr, name: String, ready: Rc<Cell<bool>>) {
+/// Reports until the program ends; `changes` tells what health checks hear.
+pub async fn keep(addr: SocketAddr, name: String, changes: Receiver<bool>) {
     let path = format!("/v2/endpoints/{name}");
     let mut kept = None;
     let mut beat = Timer::interval_at(std::time::Instant::now(), EACH);
-    let mut failing = false;
+    let (mut failing, mut ready) = (false, false);
     loop {
-        futures_lite::StreamExt::next(&mut beat).await;
-        let condition = if ready.get() { "Ready" } else { "NotReady" };
+        let due = async {
+            futures_lite::StreamExt::next(&mut beat).await;
+            None
+        };
+        let change = async { changes.recv().await.ok() };
+        ready = change.or(due).await.unwrap_or(ready);
+        let condition = if ready { "Ready" } else { "NotReady" };
         let body = format!("{{\"condition\":\"{condition}\"}}");
         let late = async {
             Timer::after(LIMIT).await;
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -7,7 +7,6 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::FutureExt;
-use std::cell::Cell;
 use std::net::TcpListener;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -25,7 +24,7 @@
     let config = Rc::new(config);
     let (to_desk, inputs) = async_channel::bounded(MOST_INPUTS);
     let (close, closed) = async_channel::bounded(1);
-    let ready = Rc::new(Cell::new(false));
+    let (ready, changes) = async_channel::unbounded();
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(name = config.name, %listen, "serving");
 
@@ -39,7 +38,7 @@
     );
     executor.spawn(accepting).detach();
     executor.spawn(run::keep(config.engine, to_desk.clone())).detach();
-    executor.spawn(report::keep(config.control, config.name.clone(), ready.clone())).detach();
+    executor.spawn(report::keep(config.control, config.name.clone(), changes)).detach();
     executor.spawn(drain::watch(signals, to_desk.clone())).detach();
     let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, ready, close);
     let desk = AssertUnwindSafe(desk.run(inputs)).catch_unwind();
