--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -24,6 +24,8 @@
 /// Inputs that may wait for the desk; past that their senders wait.
 pub const MOST_INPUTS: usize = 1_024;
 /// A wake goes to the decider without gauges when none come within this time.
+/// Inputs taken before timers and other tasks have their turn.
+const AT_ONCE: usize = 64;
 const GAUGES_WITHIN: Time = Time(100);
 const CHORES: Time = Time(500);
 const CHORES_LEAVING: Time = Time(50);
@@ -185,10 +187,10 @@
             let next = async { inputs.recv().await.ok() };
             if let Some(input) = next.or(due).await {
                 self.take(input);
-                // What else has come is taken before timers are looked at again, but not without end.
-                for input in std::iter::from_fn(|| inputs.try_recv().ok()).take(MOST_INPUTS) {
+                for input in std::iter::from_fn(|| inputs.try_recv().ok()).take(AT_ONCE) {
                     self.take(input);
                 }
+                futures_lite::future::yield_now().await;
             }
         }
         tracing::info!(connections = self.outlets.count(), "left");
@@ -237,7 +239,9 @@
             self.outlets.no_more(now);
         }
         let settled = self.outlets.settled() && self.reqs.values().all(|r| r.answered);
-        stage == Stage::Ended && settled || stage == Stage::Closed && self.outlets.count() == 0 && settled
+        stage == Stage::Over
+            || stage == Stage::Ended && settled
+            || stage == Stage::Closed && self.outlets.count() == 0 && settled
     }
 
     /// From the notice to leave until the end.
@@ -307,6 +311,8 @@
             Err(wrong) => tracing::error!(wrong, "the settings no longer give a decider"),
         }
         self.engine.forget();
+        self.reqs.retain(|_, r| !r.answered);
+        self.by_wire.retain(|_, id| self.reqs.contains_key(id));
         self.wakes.clear();
         self.wake(now, Gauges::default());
         if let Some(notice) = self.notice {
--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -10,6 +10,8 @@
 /// program ends as soon as everything it read is answered. The decider has answered all by 0.95.
 const CLOSE_PART: f64 = 0.88;
 const END_PART: f64 = 0.955;
+/// From when it ends although a sidecar has not taken its answers.
+const OVER_PART: f64 = 0.985;
 
 pub fn signals() -> io::Result<Signals> {
     Signals::new([Signal::Term, Signal::Int])
@@ -30,15 +32,13 @@
     Leaving,
     Closed,
     Ended,
+    Over,
 }
 
 /// How far a server that was told to leave at `notice` has come.
 pub fn stage(notice: Option<Time>, left: Time, now: Time) -> Stage {
     let Some(notice) = notice else { return Stage::Serving };
     let reached = |part: f64| now >= notice + left.times(part);
-    match (reached(CLOSE_PART), reached(END_PART)) {
-        (_, true) => Stage::Ended,
-        (true, _) => Stage::Closed,
-        _ => Stage::Leaving,
-    }
+    let stages = [(OVER_PART, Stage::Over), (END_PART, Stage::Ended), (CLOSE_PART, Stage::Closed)];
+    stages.into_iter().find(|(part, _)| reached(*part)).map_or(Stage::Leaving, |(_, stage)| stage)
 }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
 use crate::{accept, drain, report, run};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::FutureExt;
 use std::net::TcpListener;
@@ -36,11 +36,19 @@
         to_desk.clone(),
         closed,
     );
-    executor.spawn(accepting).detach();
-    executor.spawn(run::keep(config.engine, to_desk.clone())).detach();
-    executor.spawn(report::keep(config.control, config.name.clone(), changes)).detach();
-    executor.spawn(drain::watch(signals, to_desk.clone())).detach();
+    let accepting = executor.spawn(accepting);
+    let running = executor.spawn(run::keep(config.engine, to_desk.clone()));
+    let reporting = executor.spawn(report::keep(config.control, config.name.clone(), changes));
+    let watching = executor.spawn(drain::watch(signals, to_desk.clone()));
     let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, ready, close);
-    let desk = AssertUnwindSafe(desk.run(inputs)).catch_unwind();
-    async_io::block_on(executor.run(desk)).map_err(|_| "the desk panicked".to_string())
+    // Without any of these the server would be half alive: a panic in one ends it, with a word why.
+    let all = desk.run(inputs).or(kept(accepting)).or(kept(running)).or(kept(reporting)).or(kept(watching));
+    async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
+        .map_err(|_| "a part of the server panicked; it cannot go on".to_string())
+}
+
+/// Passes a task's panic on; its end is of no interest.
+async fn kept(task: Task<()>) {
+    task.await;
+    std::future::pending().await
 }
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -1,4 +1,5 @@
 //! The engine's link: late, broken, odd.
+use crate::peers::unix_ms;
 use crate::rig::*;
 use std::io::Write;
 
@@ -18,6 +19,12 @@
     link.say_with(&format!("DONE 1 {} fine 1", id(2)), b"").unwrap();
     assert_eq!(sidecar.hear().unwrap().code, 1);
     assert_eq!(check(&mut sidecar), 1);
+    // What was answered before left nothing behind: its id is free again.
+    let (id, at) = (id(1), unix_ms().to_string());
+    let fields = [("class", READ), ("id", &id), ("at", &at), ("from", "1"), ("kb", "1.0")];
+    sidecar.send(1, 3, &fields, b"").unwrap();
+    run_through(&mut link, 2, b"");
+    assert_eq!(sidecar.hear().unwrap().code, 1);
 }
 
 /// Guards against lost and repeated notices when the link breaks within a body.
