--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -3,9 +3,12 @@
 #[path = "../../../examples/toy/peers.rs"]
 mod peers;
 
+use cottondyke::desk::ConnId;
 use cottondyke::drain::{stage, Stage};
+use cottondyke::health::Health;
 use cottondyke::keys::{Keys, Outcome};
-use cottondyke::wire::engine::{self, Command, Notice};
+use cottondyke::run::Engine;
+use cottondyke::wire::engine::{self, Command, Notice, Tag};
 use cottondyke::wire::http;
 use cottondyke::wire::sidecar::{self, Message, Names, Reply, Stream};
 use cottondyke::wire::WireId;
@@ -259,3 +262,46 @@
     );
     assert_eq!(stage(None, Time(32_000), Time(1 << 40)), Stage::Serving);
 }
+
+/// Guards checks against an engine that hangs: a test that does not end is answered as bad in bounded time.
+#[test]
+fn a_check_that_needs_the_engine_ends() {
+    let mut health = Health::default();
+    assert_eq!([health.answer(true, false), health.answer(false, true)], [Some(false), Some(true)]);
+    assert_eq!(health.answer(true, true), None, "only the engine can tell");
+    health.testing(Time(0), Tag(1), ConnId(1), Stream(2));
+    assert!(health.overdue(Time(4_999)).is_empty());
+    assert_eq!(health.overdue(Time(5_000)), [(ConnId(1), Stream(2))]);
+    assert_eq!(health.tested(Tag(1)), None, "one answer");
+    (0..64).for_each(|n| health.testing(Time(0), Tag(n), ConnId(1), Stream(2)));
+    assert_eq!(health.answer(true, true), Some(false), "tests that are out are bounded");
+    assert!(health.set(true) && !health.set(true));
+    assert_eq!(health.answer(true, true), Some(true), "then checks hear what was set");
+}
+
+/// Guards commands given while there is no link, and the wait for a fence that is never answered.
+#[test]
+fn commands_wait_for_the_link_and_its_fence() {
+    let id = WireId::new("9b1f03aa5c7e2d41").unwrap();
+    let (skip, halt) = (Command::Skip(id, engine::NoticeNo(1)), Command::Halt(id));
+    let mut engine = Engine::default();
+    assert_eq!(engine.ask_gauges(), None);
+    [&skip, &halt, &halt].into_iter().for_each(|c| engine.send(c.clone()));
+    for fenced in [true, false] {
+        let (outlet, commands) = async_channel::unbounded();
+        engine.up(Time(0), outlet);
+        let fence = commands.try_recv();
+        let Ok(Command::Stat(tag)) = fence else { panic!("{fence:?}") };
+        assert!(commands.is_empty(), "nothing passes the fence");
+        assert!(if fenced {
+            engine.passed(tag)
+        } else {
+            !engine.overdue(Time(9_999)) && engine.overdue(Time(10_000))
+        });
+        engine.resume(Vec::new());
+        assert_eq!([commands.try_recv(), commands.try_recv()], [Ok(skip.clone()), Ok(halt.clone())]);
+        assert!(commands.is_empty(), "a halt that waits is not repeated");
+        // The link breaks before they are written: they wait again.
+        engine.down(vec![skip.clone(), halt.clone()]);
+    }
+}
