Read the configuration anew on SIGHUP; engine, records and control plane move

Cause: drain::signals took TERM and INT only, so HUP had its default action; addresses were fixed at start in run::keep, Records and report::keep. Ruled out: a crash by the program's own doing (no line on stderr, the exit code is the signal's).

Now one input to the desk, read by the same Config; the link that was left stays open for a second, so that the last commands on it are not reset away; a change goes to the control plane without waiting for the answer to the last report; a bad file is one log line. Listen address, name and settings cannot change, which is logged.

--- a/crates/server/src/call.rs
+++ b/crates/server/src/call.rs
@@ -33,13 +33,20 @@
 
 /// The records service and the idle connections to it.
 pub struct Records {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     idle: RefCell<Vec<(Instant, Async<TcpStream>)>>,
 }
 
 impl Records {
     pub fn new(addr: SocketAddr) -> Self {
-        Records { addr, idle: RefCell::new(Vec::new()) }
+        Records { addr: Cell::new(addr), idle: RefCell::new(Vec::new()) }
+    }
+
+    /// From now on calls go to `addr`; those in hand end where they began.
+    pub fn moved(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            self.idle.borrow_mut().clear();
+        }
     }
 
     /// Makes a call, for `cap` at the most. Dropping the future closes the connection, which gives it up.
@@ -59,18 +66,19 @@
     async fn attempt(
         &self, of: WireId, body: Vec<u8>, cap: Time, sending: &Cell<bool>,
     ) -> Result<Vec<u8>, CallError> {
+        let addr = self.addr.get();
         let mut stream = match self.idle_connection().await {
             Some(stream) => stream,
-            None => self.connect().await?,
+            None => connect(addr).await?,
         };
         let wait = (ms(cap).ceil() as u64).to_string();
         let headers = [("Op-Of", of.as_str()), ("Op-Wait-Ms", wait.as_str())];
         let mut bytes = Vec::new();
-        http::request("POST", PATH, &self.addr.to_string(), &headers, &body, &mut bytes);
+        http::request("POST", PATH, &addr.to_string(), &headers, &body, &mut bytes);
         sending.set(true);
         stream.write_all(&bytes).await.map_err(|_| CallError::MaybeBegun("broke while it was sent"))?;
         let reply = read_reply(&mut stream).await?;
-        if reply.keeps {
+        if reply.keeps && addr == self.addr.get() {
             self.put_back(stream);
         }
         match reply.status {
@@ -80,13 +88,6 @@
         }
     }
 
-    async fn connect(&self) -> Result<Async<TcpStream>, CallError> {
-        let refused = |_| CallError::NotBegun("no connection");
-        let stream = Async::<TcpStream>::connect(self.addr).await.map_err(refused)?;
-        let _ = stream.get_ref().set_nodelay(true);
-        Ok(stream)
-    }
-
     /// The connection used last that the service has not closed meanwhile.
     async fn idle_connection(&self) -> Option<Async<TcpStream>> {
         loop {
@@ -112,6 +113,13 @@
     }
 }
 
+async fn connect(addr: SocketAddr) -> Result<Async<TcpStream>, CallError> {
+    let refused = |_| CallError::NotBegun("no connection");
+    let stream = Async::<TcpStream>::connect(addr).await.map_err(refused)?;
+    let _ = stream.get_ref().set_nodelay(true);
+    Ok(stream)
+}
+
 async fn read_reply(stream: &mut Async<TcpStream>) -> Result<http::Reply, CallError> {
     let mut decoder = Decoder::default();
     let mut bytes = [0; READ];
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -73,6 +73,19 @@
         config.decider(Time(0)).map(|_| config)
     }
 
+    /// What is in force once `new` was read while the server runs, and what of it cannot be obeyed: what was
+    /// learned belongs to the settings, what is connected to the address.
+    pub fn renewed(&self, new: Config) -> (Config, Vec<&'static str>) {
+        let told = [
+            ("name", new.name != self.name),
+            ("listen", new.listen != self.listen),
+            ("settings", new.settings != self.settings),
+        ];
+        let in_vain = told.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what).collect();
+        let Config { engine, control, records, stop, connections, .. } = new;
+        (Config { engine, control, records, stop, connections, ..self.clone() }, in_vain)
+    }
+
     /// Settings that no server can have.
     fn plausible(&self) -> Result<(), Wrong> {
         let part =
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -7,6 +7,7 @@
 use crate::drain::{self, Stage};
 use crate::health::Health;
 use crate::keys::{Key, Keys, Outcome};
+use crate::report::News;
 use crate::run::Engine;
 use crate::time::{ms, since_unix, span_of_ms, Clock};
 use crate::wire::engine::{Command, Notice, NoticeNo, Tag};
@@ -19,6 +20,7 @@
 use cottondyke_decide::types::*;
 use futures_lite::FutureExt;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Inputs that may wait for the desk; past that their senders wait.
@@ -62,6 +64,17 @@
     Notice(Notice),
     Called(ReqId, CallNo, Result<Vec<u8>, CallError>),
     Leave,
+    /// The configuration, read anew.
+    Reload(Result<Box<Config>, String>),
+}
+
+/// The desk's lines to the tasks beside it.
+pub struct Lines {
+    pub news: Sender<News>,
+    /// New addresses of the engine.
+    pub engine: Sender<SocketAddr>,
+    /// Its end stops the listening.
+    pub close: Sender<()>,
 }
 
 /// What stands behind a req's id, from its arrival until it is answered and no run of it goes on.
@@ -127,7 +140,8 @@
     records: Rc<Records>,
     keys: Keys,
     health: Health,
-    ready: Sender<bool>,
+    news: Sender<News>,
+    moves: Sender<SocketAddr>,
     wakes: BTreeSet<Time>,
     /// Gauges asked for, and until when they are waited for.
     asked: Option<(Tag, Time)>,
@@ -143,7 +157,7 @@
 impl Desk {
     pub fn new(
         config: Rc<Config>, decider: Decider, clock: Clock, executor: Rc<LocalExecutor<'static>>,
-        inputs: Sender<Input>, ready: Sender<bool>, close: Sender<()>,
+        inputs: Sender<Input>, lines: Lines,
     ) -> Self {
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
         let records = Rc::new(Records::new(config.records));
@@ -164,7 +178,8 @@
             records,
             keys: Keys::default(),
             health: Health::default(),
-            ready,
+            news: lines.news,
+            moves: lines.engine,
             wakes: BTreeSet::new(),
             asked: None,
             joined: VecDeque::new(),
@@ -172,7 +187,7 @@
             tally: Tally::default(),
             next_tally: clock.now(),
             notice: None,
-            close: Some(close),
+            close: Some(lines.close),
         }
     }
 
@@ -286,6 +301,10 @@
             Input::EngineDown(unsent) => self.engine.down(unsent),
             Input::Notice(notice) => self.noticed(now, notice),
             Input::Called(id, no, result) => self.called(now, id, no, result),
+            Input::Reload(Ok(new)) => self.reload(*new),
+            Input::Reload(Err(wrong)) => {
+                tracing::error!(wrong, "the configuration read anew is no good; the old one stays in force");
+            }
             Input::Leave if self.notice.is_some() => tracing::info!("told to leave again"),
             Input::Leave => {
                 tracing::info!(open = self.reqs.len(), "told to leave");
@@ -297,6 +316,29 @@
         }
     }
 
+    /// Addresses and limits follow the new configuration; nothing that was learned or is open is lost.
+    fn reload(&mut self, new: Config) {
+        let (mut config, in_vain) = self.config.renewed(new);
+        if !in_vain.is_empty() {
+            tracing::warn!(?in_vain, "cannot change while the server runs; what was in force stays");
+        }
+        if self.notice.is_some() {
+            config.stop = self.config.stop;
+        }
+        if config.engine != self.config.engine {
+            let _ = self.moves.try_send(config.engine);
+        }
+        if config.control != self.config.control {
+            let _ = self.news.try_send(News::Moved(config.control));
+        }
+        self.records.moved(config.records);
+        tracing::info!(
+            engine = %config.engine, records = %config.records, control = %config.control,
+            "the configuration was read anew"
+        );
+        self.config = Rc::new(config);
+    }
+
     /// The first hello tells when the engine started. The decider reckons from there, but not from before this
     /// program could observe anything. Nothing has run by then: what is open arrives anew.
     fn engine_up(&mut self, now: Time, age_ms: f64, outlet: Sender<Command>) {
@@ -589,7 +631,7 @@
         }
         if let Some(good) = results.health.filter(|_| self.engine.greeted) {
             if self.health.set(good) {
-                let _ = self.ready.try_send(good);
+                let _ = self.news.try_send(News::Health(good));
             }
         }
         self.outlets.say = results.advice.or(self.outlets.say);
--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -1,4 +1,5 @@
-//! Leaving: the notice, and when to stop listening and to end.
+//! Signals, and leaving: the notice, and when to stop listening and to end.
+use crate::config::Config;
 use crate::desk::Input;
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
@@ -14,13 +15,22 @@
 const OVER_PART: f64 = 0.985;
 
 pub fn signals() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int])
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
 }
 
-/// Passes the notice on; the desk takes the first only.
-pub async fn watch(mut signals: Signals, desk: Sender<Input>) {
-    while let Some(Ok(_)) = signals.next().await {
-        if desk.send(Input::Leave).await.is_err() {
+/// Passes signals on: SIGHUP with the configuration read anew, any other as the notice to leave, of which the
+/// desk takes the first only.
+pub async fn watch(mut signals: Signals, path: String, desk: Sender<Input>) {
+    while let Some(signal) = signals.next().await {
+        let input = match signal {
+            Ok(Signal::Hup) => Input::Reload(Config::read(&path).map(Box::new)),
+            Ok(_) => Input::Leave,
+            Err(error) => {
+                tracing::warn!(%error, "a signal could not be read");
+                continue;
+            }
+        };
+        if desk.send(input).await.is_err() {
             return;
         }
     }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -18,6 +18,7 @@
   --config FILE   the configuration (default: the file that GW_CONFIG names)
   --log LEVEL     error, warn, info (default), debug or trace, on standard error
 
+SIGHUP reads the configuration anew; SIGTERM is the notice to leave
 exit codes: 0 well, 1 could not serve, 2 bad usage or configuration";
 
 struct Usage {
@@ -42,9 +43,10 @@
     Ok(usage)
 }
 
-fn config(path: Option<String>) -> Result<Config, String> {
+fn config(path: Option<String>) -> Result<(String, Config), String> {
     let path = path.or_else(|| std::env::var("GW_CONFIG").ok());
-    Config::read(&path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?)
+    let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
+    Config::read(&path).map(|config| (path, config))
 }
 
 fn fail(why: &str, code: u8) -> ExitCode {
@@ -61,8 +63,8 @@
         "help" => println!("{HELP}"),
         "version" => println!("cottondyke {}", env!("CARGO_PKG_VERSION")),
         "check" | "serve" => {
-            let config = match config(usage.config) {
-                Ok(config) => config,
+            let (path, config) = match config(usage.config) {
+                Ok(read) => read,
                 Err(wrong) => return fail(&wrong, 2),
             };
             if usage.command == "check" {
@@ -71,7 +73,7 @@
             }
             let log = tracing_subscriber::fmt().with_max_level(usage.log).with_ansi(false);
             log.with_writer(std::io::stderr).init();
-            if let Err(wrong) = serve::serve(config) {
+            if let Err(wrong) = serve::serve(path, config) {
                 return fail(&wrong, 1);
             }
         }
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -10,8 +10,16 @@
 const EACH: Duration = Duration::from_secs(1);
 const LIMIT: Duration = Duration::from_millis(800);
 
-/// Reports until the program ends; `changes` tells what health checks hear.
-pub async fn keep(addr: SocketAddr, name: String, changes: Receiver<bool>) {
+/// What the desk tells.
+pub enum News {
+    /// What health checks hear.
+    Health(bool),
+    /// The control plane's new address.
+    Moved(SocketAddr),
+}
+
+/// Reports until the program ends. News goes out at once, whatever report still waits for its answer.
+pub async fn keep(mut addr: SocketAddr, name: String, changes: Receiver<News>) {
     let path = format!("/v2/endpoints/{name}");
     let mut kept = None;
     let mut beat = Timer::interval_at(std::time::Instant::now(), EACH);
@@ -21,15 +29,25 @@
             futures_lite::StreamExt::next(&mut beat).await;
             None
         };
-        let change = async { changes.recv().await.ok() };
-        ready = change.or(due).await.unwrap_or(ready);
-        let condition = if ready { "Ready" } else { "NotReady" };
-        let body = format!("{{\"condition\":\"{condition}\"}}");
-        let late = async {
-            Timer::after(LIMIT).await;
-            Err(io::ErrorKind::TimedOut.into())
+        let mut news = heard(&changes).or(due).await;
+        let result = loop {
+            match news.take() {
+                Some(News::Health(good)) => ready = good,
+                Some(News::Moved(to)) => (addr, kept) = (to, None),
+                None => {}
+            }
+            let condition = if ready { "Ready" } else { "NotReady" };
+            let body = format!("{{\"condition\":\"{condition}\"}}");
+            let late = async {
+                Timer::after(LIMIT).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            let answered = async { Ok(report(addr, &path, body.as_bytes(), kept.take()).or(late).await) };
+            match answered.or(async { Err(heard(&changes).await) }).await {
+                Ok(result) => break result,
+                Err(more) => news = more,
+            }
         };
-        let result = report(addr, &path, body.as_bytes(), kept.take()).or(late).await;
         if result.is_err() != failing {
             failing = !failing;
             match &result {
@@ -41,6 +59,13 @@
     }
 }
 
+async fn heard(changes: &Receiver<News>) -> Option<News> {
+    match changes.recv().await {
+        Ok(news) => Some(news),
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// One report; a kept connection that has gone stale is replaced once. Returns the connection if it serves on.
 async fn report(
     addr: SocketAddr, path: &str, body: &[u8], kept: Option<Async<TcpStream>>,
--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -7,7 +7,8 @@
 use cottondyke_decide::types::{Time, SECOND};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpStream};
+use std::future::Future;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
@@ -16,33 +17,67 @@
 /// Commands that may wait while the engine reads none; past that no halt is repeated. All others are one a req.
 const MOST_WAITING: usize = 1_024;
 const READ: usize = 16_384;
+/// How long a link that was left for another stays open.
+const LEFT_OPEN: Duration = Duration::from_secs(1);
 const FENCE_WITHIN: Time = SECOND;
 
-/// Connects again and again, with growing pauses; the notices read whole are never asked for again.
-pub async fn keep(addr: SocketAddr, desk: Sender<Input>) {
+/// Connects again and again, with growing pauses; the notices read whole are never asked for again. `moves`
+/// tells new addresses of the engine.
+pub async fn keep(mut addr: SocketAddr, moves: Receiver<SocketAddr>, desk: Sender<Input>) {
     let mut last = NoticeNo(0);
     let mut pause = SHORTEST_PAUSE;
+    let mut before = None;
     loop {
+        let mut to = addr;
         let late = async {
             Timer::after(CONNECT_LIMIT).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
-        match Async::<TcpStream>::connect(addr).or(late).await {
+        let moving = async {
+            moved(&moves, &mut to).await;
+            Err(std::io::ErrorKind::Interrupted.into())
+        };
+        match Async::<TcpStream>::connect(addr).or(late).or(moving).await {
             Ok(stream) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                if attached(&stream, &mut last, &desk).await {
+                let moving = moved(&moves, &mut to);
+                if attached(&stream, &mut last, &desk, moving, &mut before).await {
                     pause = SHORTEST_PAUSE;
                 }
+                if to != addr {
+                    let _ = stream.get_ref().shutdown(Shutdown::Write);
+                    before = Some(stream);
+                }
             }
             Err(error) => tracing::debug!(%error, "the engine cannot be reached"),
         }
-        Timer::after(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        if to == addr {
+            let rest = async {
+                Timer::after(pause).await;
+            };
+            rest.or(moved(&moves, &mut to)).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+        if to != addr {
+            tracing::info!(engine = %to, "the engine has a new address");
+            (addr, pause) = (to, SHORTEST_PAUSE);
+        }
     }
 }
 
-/// One link, from `ATTACH` until it breaks; true if the engine said hello on it.
-async fn attached(stream: &Async<TcpStream>, last: &mut NoticeNo, desk: &Sender<Input>) -> bool {
+async fn moved(moves: &Receiver<SocketAddr>, to: &mut SocketAddr) {
+    match moves.recv().await {
+        Ok(next) => *to = next,
+        Err(_) => std::future::pending().await,
+    }
+}
+
+/// One link, from `ATTACH` until it breaks or `moving` ends; true if the engine said hello on it. A link that
+/// was left for it stays open a little: closed with notices unread, it could take the last commands with it.
+async fn attached(
+    stream: &Async<TcpStream>, last: &mut NoticeNo, desk: &Sender<Input>, moving: impl Future<Output = ()>,
+    before: &mut Option<Async<TcpStream>>,
+) -> bool {
     let (outlet, commands) = async_channel::unbounded();
     let _ = outlet.try_send(Command::Attach(*last));
     let mut unsent = VecDeque::new();
@@ -50,7 +85,16 @@
     let why = {
         let reading = read(stream, last, desk, outlet, &mut greeted);
         let writing = write(stream, &commands, &mut unsent);
-        reading.or(writing).await
+        let leaving = async {
+            moving.await;
+            "it moves"
+        };
+        let parting = async {
+            Timer::after(LEFT_OPEN).await;
+            *before = None;
+            std::future::pending().await
+        };
+        reading.or(writing).or(leaving).or(parting).await
     };
     tracing::warn!(why, "the link to the engine broke");
     commands.close();
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -1,6 +1,6 @@
 //! Puts the parts together and runs them on one thread.
 use crate::config::Config;
-use crate::desk::{Desk, MOST_INPUTS};
+use crate::desk::{Desk, Lines, MOST_INPUTS};
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
 use crate::{accept, drain, report, run};
@@ -12,11 +12,13 @@
 use std::rc::Rc;
 
 /// Serves until the server has left; an error says in one line why it could not.
-pub fn serve(config: Config) -> Result<(), String> {
+/// `path` is where the configuration is read anew on SIGHUP.
+pub fn serve(path: String, config: Config) -> Result<(), String> {
+    // First of all: until this stands, a signal has its default action.
+    let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
-    let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
     let clock = Clock::start();
     let decider = config.decider(clock.now())?;
     let names =
@@ -24,7 +26,8 @@
     let config = Rc::new(config);
     let (to_desk, inputs) = async_channel::bounded(MOST_INPUTS);
     let (close, closed) = async_channel::bounded(1);
-    let (ready, changes) = async_channel::unbounded();
+    let (news, changes) = async_channel::unbounded();
+    let (engine, moves) = async_channel::unbounded();
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(name = config.name, %listen, "serving");
 
@@ -37,10 +40,10 @@
         closed,
     );
     let accepting = executor.spawn(accepting);
-    let running = executor.spawn(run::keep(config.engine, to_desk.clone()));
+    let running = executor.spawn(run::keep(config.engine, moves, to_desk.clone()));
     let reporting = executor.spawn(report::keep(config.control, config.name.clone(), changes));
-    let watching = executor.spawn(drain::watch(signals, to_desk.clone()));
-    let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, ready, close);
+    let watching = executor.spawn(drain::watch(signals, path, to_desk.clone()));
+    let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, Lines { news, engine, close });
     // Without any of these the server would be half alive: a panic in one ends it, with a word why.
     let all = desk.run(inputs).or(kept(accepting)).or(kept(running)).or(kept(reporting)).or(kept(watching));
     async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -6,6 +6,7 @@
 #[allow(dead_code)]
 #[path = "../../../../examples/toy/peers.rs"]
 mod peers;
+mod reload;
 mod reqs;
 mod rig;
 mod start;
--- /dev/null
+++ b/crates/server/tests/serve/reload.rs
@@ -0,0 +1,63 @@
+//! The configuration read anew on SIGHUP.
+use crate::peers::*;
+use crate::rig::*;
+use serde_json::json;
+use std::net::TcpListener;
+
+/// Guards a server whose peers move while it serves: it lives, nothing open is lost, each peer is met at its new
+/// address, and the new engine is told which notices were read.
+#[test]
+fn peers_move_while_reqs_are_open() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    for n in [1, 2] {
+        ask(&mut sidecar, n, PAY, &[], b"");
+        started(&mut link);
+    }
+    link.say_with(&format!("NEED 1 {}", id(1)), b"first").unwrap();
+    let mut service = Service::accept(&rig.records).unwrap();
+    service.asked().unwrap();
+    let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
+    let (engine, records, control) = (bind(), bind(), bind());
+    let mut conf = rig.conf.clone();
+    for (key, listener) in [("engine", &engine), ("records", &records), ("control", &control)] {
+        conf[key] = json!(listener.local_addr().unwrap().to_string());
+    }
+    conf["listen"] = json!("127.0.0.1:1");
+    rig.reload(&conf.to_string(), "cannot change while the server runs");
+    let mut link = Rig::hello(&engine, 1);
+    assert_eq!(Service::accept(&control).unwrap().asked().unwrap().line, "PUT /v2/endpoints/toy HTTP/1.1");
+    // The call in hand ends where it began, the next goes to the new address.
+    service.reply("200 OK", "", b"old").unwrap();
+    let (words, body) = link.order().unwrap();
+    assert_eq!((words[0].as_str(), body.as_slice()), ("FEED", &b"old"[..]));
+    link.say_with(&format!("NEED 2 {}", id(2)), b"second").unwrap();
+    let mut service = Service::accept(&records).unwrap();
+    service.asked().unwrap();
+    service.reply("200 OK", "", b"new").unwrap();
+    assert_eq!(link.order().unwrap().1, b"new");
+    for n in [1, 2] {
+        link.say_with(&format!("DONE {} {} fine 1", n + 2, id(n)), b"").unwrap();
+        assert_eq!(sidecar.hear().unwrap().code, 1);
+    }
+}
+
+/// Guards what is in force against a file that is missing, half written or wrong, and against signals in a row.
+#[test]
+fn a_bad_configuration_changes_nothing() {
+    let mut rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    let whole = rig.conf.to_string();
+    for bad in ["", &whole[..whole.len() / 2], "{}"] {
+        rig.reload(bad, "the old one stays in force");
+    }
+    ask(&mut sidecar, 1, READ, &[], b"");
+    run_through(&mut link, 1, b"still here");
+    assert_eq!(sidecar.hear().unwrap().body, b"still here");
+    (0..5).for_each(|_| rig.signal("-HUP"));
+    rig.reload(&whole, "the configuration was read anew");
+    rig.signal("-TERM");
+    rig.logged("told to leave");
+    rig.signal("-HUP");
+    assert_eq!(rig.ended().0.code(), Some(0), "the same during a drain");
+}
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -46,6 +46,7 @@
 pub struct Rig {
     child: Child,
     path: PathBuf,
+    pub conf: Value,
     pub addr: SocketAddr,
     pub engine: TcpListener,
     pub records: TcpListener,
@@ -74,12 +75,16 @@
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
         let serving = |line: String| line.split_once("listen=").map(|(_, addr)| addr.trim().parse().unwrap());
         let addr = log.iter().find_map(serving).expect("the server says where it listens");
-        Rig { child, path, addr, engine, records, control, log }
+        Rig { child, path, conf, addr, engine, records, control, log }
     }
 
     /// A link past its hello and the question that fences it off from the link before.
     pub fn link(&self, last: u64) -> Link {
-        let mut link = Link::accept(&self.engine).unwrap();
+        Self::hello(&self.engine, last)
+    }
+
+    pub fn hello(engine: &TcpListener, last: u64) -> Link {
+        let mut link = Link::accept(engine).unwrap();
         assert_eq!(link.command().unwrap().0, ["ATTACH", &last.to_string()]);
         link.say("HELLO running 5.0").unwrap();
         let (words, _) = link.command().unwrap();
@@ -103,6 +108,13 @@
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
 
+    /// Replaces the configuration and has it read anew.
+    pub fn reload(&self, text: &str, logged: &str) {
+        std::fs::write(&self.path, text).unwrap();
+        self.signal("-HUP");
+        self.logged(logged);
+    }
+
     /// How the program ended, and how long that took.
     pub fn ended(&mut self) -> (ExitStatus, Duration) {
         let start = Instant::now();
