Make room among connections: silent ones end, the least useful go, stamps must be proven

Checked: the log (accepting pauses, nothing else), descriptors (445 of 512), CPU (at most 0.1 of 0.2 cores, so not that). At fault: accept::listen stopped at a semaphore; intake::read waited for a frame for ever; nothing chose whom to let go.

Now a first or begun frame has 1.5 s to come whole; past 0.85 of the connections the silent go, then the longest idle are told and closed; the rest of an endless message is read and thrown away while the fault is heard. One owner of the budgets (room.rs) follows limits.memory_mb too. A reset connection's reqs are given to the decider as such.

Stamps are true of sidecars, so they teach the unread time only on connections of which the engine has known a req (Arrival.unread); wrong ones on others teach nothing.

--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -34,6 +34,7 @@
     }
     // Lying time is rounded up and the wait down, so that both ends of a due time come early.
     let lay = maybe_number(event, "lay_ms")?.unwrap_or(0.0);
+    let lay = Time((lay * 10.0).ceil().clamp(0.0, 1e15) as i64);
     Ok(Arrival {
         id: req(event)?,
         handler: HandlerId(handler),
@@ -42,7 +43,8 @@
         retry: flags & 2 != 0,
         repeats: repeats.map(|n| id(n, "same_as")).transpose()?.map(ReqId),
         kb: maybe_number(event, "mem_kb")?.unwrap_or(0.0),
-        lay: Time((lay * 10.0).ceil().clamp(0.0, 1e15) as i64),
+        lay,
+        unread: lay,
         wait: maybe_number(event, "grace_ms")?.filter(|ms| *ms > 0.0).map(tenths),
     })
 }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -357,8 +357,8 @@
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.seen.add(now, 0, 1.0);
-        self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.lay.num(), 0.0]);
-        self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.lay.num());
+        self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
+        self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num());
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
             out.keep.push((new.id, end - now));
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -110,6 +110,8 @@
     pub kb: f64,
     /// The time since it reached the machine.
     pub lay: Time,
+    /// The part of it that is believed to show how long reqs lie unread.
+    pub unread: Time,
     /// How long the caller still waits, where told.
     pub wait: Option<Time>,
 }
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -1,63 +1,69 @@
 //! Takes connections from sidecars, within the budget of descriptors.
 use crate::desk::{ConnId, Input};
-use crate::intake::{self, Parts};
-use crate::wire::sidecar::Names;
-use async_channel::{Receiver, Sender};
+use crate::intake::{self, Front};
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_lock::Semaphore;
 use futures_lite::future;
 use futures_lite::FutureExt;
 use std::future::Future;
+use std::io;
 use std::net::TcpListener;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Accepting rests this long when the system has no descriptor left.
 const REST: Duration = Duration::from_millis(50);
+/// Connections that may wait to be accepted: what finds no place there is lost or late by seconds.
+const BACKLOG: i32 = 1_024;
+/// A pause is told at most this often.
+const TOLD_EACH: Duration = Duration::from_secs(1);
+
+pub fn bind(addr: std::net::SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = Async::<TcpListener>::bind(addr)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
 
 /// Accepts until `close` ends. What waits to be accepted by then is still taken: the machine has accepted it.
 pub async fn listen(
-    executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>, most: usize, names: Rc<Names>,
-    desk: Sender<Input>, close: Receiver<()>,
+    executor: Rc<LocalExecutor<'static>>, listener: Async<TcpListener>, front: Rc<Front>, close: Receiver<()>,
 ) {
-    let room = Arc::new(Semaphore::new(most));
-    let (mut next, parts) = (0, Parts::default());
+    let mut next = 0;
     let closed = async {
         let _ = close.recv().await;
         None
     };
     futures_lite::pin!(closed);
-    let (mut full, mut closing) = (false, false);
+    let (mut told, mut closing) = (None, false);
     loop {
-        let was_full = std::mem::replace(&mut full, room.try_acquire().is_none());
-        if full && !was_full {
-            tracing::warn!(connections = most, "no room for further connections; accepting pauses");
+        let now = Instant::now();
+        if front.room.full() && told.is_none_or(|at| now - at > TOLD_EACH) {
+            told = Some(now);
+            tracing::warn!("no room for further connections; the least useful go");
         }
         let taken = async {
-            let place = room.acquire_arc().await;
-            Some((listener.accept().await, Some(place)))
+            front.room.free().await;
+            Some(listener.accept().await)
         };
         // The end of `closed` is seen once; from then on only what waits already is taken, room or not.
         let one = if closing { None } else { taken.or(closed.as_mut()).await };
         closing = one.is_none();
-        let (accepted, place) = match one {
-            Some(one) => one,
+        let accepted = match one {
+            Some(accepted) => accepted,
             None => match future::poll_once(listener.accept()).await {
-                Some(accepted) => (accepted, room.try_acquire_arc()),
+                Some(accepted) => accepted,
                 None => return,
             },
         };
         match accepted {
             Ok((stream, _)) => {
-                let (conn, names, parts, desk) = (ConnId(next), names.clone(), parts.clone(), desk.clone());
+                let (conn, place, front) = (ConnId(next), front.room.place(), front.clone());
                 next += 1;
                 let task = async move {
-                    let serve = intake::serve(conn, stream, names, parts, desk.clone());
-                    guarded(conn, serve).await;
-                    let _ = desk.send(Input::Closed(conn)).await;
+                    guarded(conn, intake::serve(conn, stream, &front)).await;
+                    let _ = front.desk.send(Input::Closed(conn)).await;
                     drop(place);
                 };
                 executor.spawn(task).detach();
@@ -81,6 +87,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::room::Room;
 
     /// Guards the server against a panic in one connection's handling: it ends there.
     #[test]
@@ -98,7 +105,8 @@
         let (desk, inputs) = async_channel::unbounded();
         let (_, close) = async_channel::bounded(1);
         let executor = Rc::new(LocalExecutor::new());
-        let listening = listen(executor.clone(), listener, 1, Rc::default(), desk, close);
+        let front = Front { names: Rc::default(), room: Room::new(1, 0), desk };
+        let listening = listen(executor.clone(), listener, Rc::new(front), close);
         async_io::block_on(executor.run(async {
             listening.await;
             for _ in &clients {
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -13,8 +13,12 @@
 
 /// A sidecar that takes nothing for this long is given up.
 const STUCK: Duration = Duration::from_secs(5);
-/// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms.
+/// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms. The second holds where
+/// other connections need the room.
 const CROSSING: Time = SECOND;
+const CROSSING_AT_LEAST: Time = Time(1_000);
+/// A connection that has sent nothing yet is no worse than others for this long.
+const YOUNG: Time = Time(1_000);
 
 /// An encoded reply, and whether it settles a req.
 pub struct Parcel {
@@ -46,6 +50,10 @@
 struct Outlet {
     parcels: Sender<Parcel>,
     open: usize,
+    /// Whether it has ever carried anything.
+    heard: bool,
+    /// Whether the engine has known a req of it.
+    proven: bool,
     /// When it last carried something.
     used: Time,
     /// When the sidecar was told to send no more.
@@ -66,7 +74,10 @@
 
 impl Outlets {
     pub fn opened(&mut self, now: Time, conn: ConnId, parcels: Sender<Parcel>) {
-        self.conns.insert(conn, Outlet { parcels, open: 0, used: now, told: None, ending: false });
+        self.conns.insert(
+            conn,
+            Outlet { parcels, open: 0, heard: false, proven: false, used: now, told: None, ending: false },
+        );
     }
 
     pub fn closed(&mut self, conn: ConnId) {
@@ -76,10 +87,19 @@
     pub fn took(&mut self, now: Time, conn: ConnId) {
         if let Some(outlet) = self.conns.get_mut(&conn) {
             outlet.open += 1;
+            outlet.heard = true;
             outlet.used = now;
         }
     }
 
+    pub fn prove(&mut self, conn: ConnId) {
+        self.conns.entry(conn).and_modify(|o| o.proven = true);
+    }
+
+    pub fn proven(&self, conn: ConnId) -> bool {
+        self.conns.get(&conn).is_some_and(|o| o.proven)
+    }
+
     /// Sends a reply where the connection still stands. One whose queue is full reads nothing: it is dropped.
     pub fn send(&mut self, now: Time, conn: ConnId, reply: &Reply) {
         let Some(outlet) = self.conns.get_mut(&conn) else { return };
@@ -92,6 +112,7 @@
             return;
         }
         outlet.used = now;
+        outlet.heard = true;
         outlet.open -= usize::from(settles).min(outlet.open);
         self.end_if_settled(conn);
     }
@@ -128,6 +149,26 @@
         }
     }
 
+    /// Of `taken` connections, closing ones among them, `most` may stay: those of least use go. First those that
+    /// never sent anything; of the idle the longest unused are told, and closed once nothing can cross any longer.
+    pub fn make_room(&mut self, now: Time, taken: usize, most: usize) {
+        let Some(over) = taken.checked_sub(most).filter(|over| *over > 0) else { return };
+        self.conns.retain(|_, o| o.open > 0 || o.told.is_none_or(|at| now - at < CROSSING_AT_LEAST));
+        let told = self.conns.values().filter(|o| o.told.is_some()).count();
+        let going = taken.saturating_sub(self.conns.len()) + told;
+        let idle = self.conns.iter().filter(|(_, o)| o.open == 0 && o.told.is_none());
+        let mut idle: Vec<_> =
+            idle.map(|(conn, o)| (o.heard || now - o.used < YOUNG, o.used, *conn)).collect();
+        idle.sort_unstable();
+        for (heard, _, conn) in idle.into_iter().take(over.saturating_sub(going)) {
+            if heard {
+                self.tell(now, conn);
+            } else {
+                self.fault(now, conn, "no room for a connection that sends nothing");
+            }
+        }
+    }
+
     /// Idle connections are told first and closed after what may cross.
     pub fn chores(&mut self, now: Time) {
         let idle = self.idle.unwrap_or(Time::MAX);
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -21,6 +21,10 @@
     pub stop: Duration,
     /// Connections taken from sidecars.
     pub connections: usize,
+    /// Bytes that the program may take.
+    pub memory: usize,
+    /// The longest client timeout, in milliseconds.
+    pub longest: f64,
     pub kinds: Vec<Kind>,
     /// How long the answer of a read may be handed to others.
     pub fresh: Time,
@@ -44,8 +48,11 @@
         let seed = settings::text(&all, "seed")?;
         let limits = all.get("limits").filter(|l| l.is_object()).ok_or("limits is missing")?;
         let sockets = settings::whole(limits, "sockets").map_err(|wrong| format!("limits: {wrong}"))?;
+        let memory = settings::whole(limits, "memory_mb").map_err(|wrong| format!("limits: {wrong}"))?;
         let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let connections = sockets.min(allowed.unwrap_or(sockets)).checked_sub(KEPT_BACK).filter(|n| *n > 0);
+        let classes = conf.get("classes").and_then(Value::as_array).into_iter().flatten();
+        let timeouts = classes.filter_map(|class| class.get("deadline_ms"));
         let places = settings::places(conf);
         if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
             return Err("settings: classes is empty or lacks a name".to_string());
@@ -59,6 +66,8 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| "seed is not a hexadecimal number")?,
             stop: Duration::from_millis(settings::whole(&all, "stop_ms")?),
             connections: connections.ok_or(format!("limits: sockets must be over {KEPT_BACK}"))? as usize,
+            memory: (memory as usize).saturating_mul(1 << 20),
+            longest: timeouts.filter_map(Value::as_f64).fold(0.0, f64::max),
             kinds: settings::kinds(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             fresh: settings::fresh(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             places,
@@ -82,8 +91,8 @@
             ("settings", new.settings != self.settings),
         ];
         let in_vain = told.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what).collect();
-        let Config { engine, control, records, stop, connections, .. } = new;
-        (Config { engine, control, records, stop, connections, ..self.clone() }, in_vain)
+        let Config { engine, control, records, stop, connections, memory, .. } = new;
+        (Config { engine, control, records, stop, connections, memory, ..self.clone() }, in_vain)
     }
 
     /// Settings that no server can have.
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -8,6 +8,7 @@
 use crate::health::Health;
 use crate::keys::{Key, Keys, Outcome};
 use crate::report::News;
+use crate::room::Room;
 use crate::run::Engine;
 use crate::time::{ms, since_unix, span_of_ms, Clock};
 use crate::wire::engine::{Command, Notice, NoticeNo, Tag};
@@ -138,8 +139,11 @@
     outlets: Outlets,
     engine: Engine,
     records: Rc<Records>,
+    room: Rc<Room>,
     keys: Keys,
     health: Health,
+    /// How long the last req of a proven connection lay unread.
+    lately: Time,
     news: Sender<News>,
     moves: Sender<SocketAddr>,
     wakes: BTreeSet<Time>,
@@ -155,9 +159,10 @@
 }
 
 impl Desk {
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         config: Rc<Config>, decider: Decider, clock: Clock, executor: Rc<LocalExecutor<'static>>,
-        inputs: Sender<Input>, lines: Lines,
+        inputs: Sender<Input>, room: Rc<Room>, lines: Lines,
     ) -> Self {
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
         let records = Rc::new(Records::new(config.records));
@@ -176,8 +181,10 @@
             outlets: Outlets::default(),
             engine: Engine::default(),
             records,
+            room,
             keys: Keys::default(),
             health: Health::default(),
+            lately: Time(0),
             news: lines.news,
             moves: lines.engine,
             wakes: BTreeSet::new(),
@@ -240,6 +247,7 @@
         }
         self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
+        self.make_room(now);
         self.records.retire();
         if self.engine.overdue(now) {
             self.engine.resume(Vec::new());
@@ -264,6 +272,11 @@
         span_of_ms(self.config.stop.as_secs_f64() * 1_000.0)
     }
 
+    fn make_room(&mut self, now: Time) {
+        let (taken, most) = self.room.connections();
+        self.outlets.make_room(now, taken, most);
+    }
+
     fn wake(&mut self, now: Time, gauges: Gauges) {
         let results = self.decider.wake(now, gauges);
         self.carry_all(now, results);
@@ -274,6 +287,7 @@
         match input {
             Input::Opened(conn, parcels) => {
                 self.outlets.opened(now, conn, parcels);
+                self.make_room(now);
                 if self.close.is_none() {
                     self.outlets.no_more(now);
                 }
@@ -296,7 +310,10 @@
                 self.tally.malformed += 1;
                 self.outlets.fault(now, conn, why);
             }
-            Input::Closed(conn) => self.outlets.closed(conn),
+            Input::Closed(conn) => {
+                self.outlets.closed(conn);
+                self.gone(now, conn);
+            }
             Input::EngineUp { age_ms, outlet } => self.engine_up(now, age_ms, outlet),
             Input::EngineDown(unsent) => self.engine.down(unsent),
             Input::Notice(notice) => self.noticed(now, notice),
@@ -332,6 +349,7 @@
             let _ = self.news.try_send(News::Moved(config.control));
         }
         self.records.moved(config.records);
+        self.room.told(&config);
         tracing::info!(
             engine = %config.engine, records = %config.records, control = %config.control,
             "the configuration was read anew"
@@ -366,7 +384,7 @@
             let Some(entry) = self.reqs.get_mut(&id) else { continue };
             entry.running = false;
             entry.joined = None;
-            let new = Arrival { lay: now - entry.arrived, ..entry.new };
+            let new = Arrival { lay: now - entry.arrived, unread: Time(0), ..entry.new };
             let results = self.decider.arrival(now, new);
             self.carry_all(now, results);
         }
@@ -409,6 +427,12 @@
         if let (true, None, Some(key)) = (reads, repeats, &key) {
             self.keys.keep(id, key.clone(), None);
         }
+        // A stamp teaches how long reqs lie unread where the engine has known a req of that connection; else no
+        // more than what was learned so does.
+        let lay = since_unix(req.at);
+        let proven = self.outlets.proven(conn);
+        self.lately = if proven { lay } else { self.lately };
+        let unread = lay.min(self.lately);
         let new = Arrival {
             id,
             handler: req.handler,
@@ -417,7 +441,8 @@
             retry: req.retry,
             repeats,
             kb: req.kb,
-            lay: since_unix(req.at),
+            lay,
+            unread,
             wait: None,
         };
         self.by_wire.insert(req.id, id);
@@ -450,6 +475,8 @@
             Notice::Need { no, id, body } => {
                 let Some((id, entry)) = self.entry_of(id) else { return };
                 (entry.need, entry.begun) = (Some((no, body)), true);
+                let conn = entry.conn;
+                self.outlets.prove(conn);
                 let results = self.decider.call_wanted(now, id);
                 self.carry_all(now, results);
             }
@@ -507,6 +534,9 @@
     fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, result: Vec<u8>) {
         let Some(entry) = self.reqs.get_mut(&id).filter(|e| e.running) else { return };
         (entry.running, entry.need, entry.call) = (false, None, None);
+        if end == RunEnd::Done {
+            self.outlets.prove(entry.conn);
+        }
         let kept: Option<Rc<[u8]>> =
             (end == RunEnd::Done && entry.key.is_some()).then(|| result.as_slice().into());
         let stream = entry.stream;
@@ -514,7 +544,7 @@
         let reply = if end == RunEnd::Done { Reply::Done(stream, result) } else { Reply::Errored(stream) };
         self.answer(now, id, reply);
         if shared {
-            self.keys.ended(now, id, kept.clone(), self.config.fresh);
+            self.keys.ended(now, id, kept.clone(), self.config.fresh, self.room.results());
             self.settle_joined(now, id, kept);
         }
         let results = self.decider.run_ended(now, id, end);
@@ -548,6 +578,20 @@
         }
     }
 
+    /// Nobody hears what a lost connection still owes: the decider is told of all that was open on it. A req with
+    /// a key goes on, for its repeats.
+    fn gone(&mut self, now: Time, conn: ConnId) {
+        let open = self.reqs.iter().filter(|(_, e)| e.conn == conn && !e.answered && e.key.is_none());
+        for id in open.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(entry) = self.reqs.get_mut(&id) {
+                entry.call = None;
+                self.answer(now, id, Reply::Errored(Stream(0)));
+                let results = self.decider.caller_gone(now, id);
+                self.carry_all(now, results);
+            }
+        }
+    }
+
     fn called(&mut self, now: Time, id: ReqId, no: CallNo, result: Result<Vec<u8>, CallError>) {
         let Some(entry) = self.reqs.get_mut(&id) else { return };
         if entry.call.take_if(|(of, _)| *of == no).is_none() {
@@ -645,7 +689,7 @@
 
     /// A req that was answered before it ran leaves nothing for its repeats.
     fn never_ran(&mut self, now: Time, id: ReqId) {
-        self.keys.ended(now, id, None, Time(0));
+        self.keys.ended(now, id, None, Time(0), self.room.results());
         self.settle_joined(now, id, None);
     }
 
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -1,100 +1,128 @@
 //! One sidecar's connection: reads frames and hands them to the desk, writes what the desk answers.
 use crate::answer::{self, Parcel};
 use crate::desk::{ConnId, Input};
+use crate::room::Room;
 use crate::wire::sidecar::{Decoder, Message, Names};
 use crate::wire::Malformed;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::{future, FutureExt};
 use std::cell::Cell;
+use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Reqs that may be open on one connection.
 const MOST_OPEN: usize = 32;
 /// Replies that may wait to be written to one connection, checks and faults among them.
 const MOST_WAITING: usize = 4 * MOST_OPEN;
-const READ: usize = 8_192;
-/// What frames that came in part may take on all connections together, each one's first `READ` apart.
-const MOST_PARTS: usize = 32 << 20;
-/// After the last answer, how long what the peer still sends is read and thrown away.
-const LINGER: Duration = Duration::from_millis(500);
+/// A frame in part that takes more than this counts against the room for such.
+const SMALL: usize = 8_192;
+/// From opening, or from a frame's first byte, to a frame's last.
+const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
+/// After a fault was told, what the peer still sends is read and thrown away: a close with bytes unread resets
+/// the connection, and may destroy the word. It ends with the peer, when nothing has come for the first of these,
+/// at the second, or when there is no room.
+const LINGER_QUIET: Duration = Duration::from_millis(250);
+const LINGER: Duration = Duration::from_millis(2_000);
 
-/// The room that frames in part take on all connections.
-#[derive(Clone, Default)]
-pub struct Parts(Rc<Cell<usize>>);
-
-/// One connection's share of it, given back at its end.
-struct Part(Parts, usize);
-
-impl Part {
-    /// Takes `size` in place of what was taken; false where there is no room.
-    fn set(&mut self, size: usize) -> bool {
-        let Parts(all) = &self.0;
-        all.set(all.get() - self.1 + size);
-        self.1 = size;
-        size == 0 || all.get() <= MOST_PARTS
-    }
+/// What every connection is served with.
+pub struct Front {
+    pub names: Rc<Names>,
+    pub room: Rc<Room>,
+    pub desk: Sender<Input>,
 }
 
-impl Drop for Part {
-    fn drop(&mut self) {
-        self.set(0);
-    }
+/// How a sidecar stopped sending.
+enum End {
+    /// It has sent its last, and may still read.
+    Finished,
+    /// The connection is no more.
+    Gone,
 }
 
-pub async fn serve(
-    conn: ConnId, stream: Async<TcpStream>, names: Rc<Names>, parts: Parts, desk: Sender<Input>,
-) {
+pub async fn serve(conn: ConnId, stream: Async<TcpStream>, front: &Front) {
     let _ = stream.get_ref().set_nodelay(true);
     let (outlet, parcels) = async_channel::bounded::<Parcel>(MOST_WAITING);
-    if desk.send(Input::Opened(conn, outlet)).await.is_err() {
+    if front.desk.send(Input::Opened(conn, outlet)).await.is_err() {
         return;
     }
-    let open = Cell::new(0);
+    let (open, lingers) = (Cell::new(0), Cell::new(false));
     let over = parcels.clone();
     let reading = async {
-        let last = match read(conn, &stream, names, Part(parts, 0), &desk, &open, &over).await {
-            Ok(()) => Input::Finished(conn),
-            Err(Malformed(why)) => Input::Malformed(conn, why),
+        let last = match read(conn, &stream, front, &open, &over).await {
+            Ok(End::Gone) => return,
+            Ok(End::Finished) => Input::Finished(conn),
+            Err(Malformed(why)) => {
+                lingers.set(true);
+                Input::Malformed(conn, why)
+            }
         };
-        let _ = desk.send(last).await;
+        let _ = front.desk.send(last).await;
         // The writer ends the connection once the desk has settled what is open.
         std::future::pending::<()>().await
     };
     reading.or(answer::write(&stream, parcels, &open)).await;
-    if stream.get_ref().shutdown(Shutdown::Write).is_ok() {
-        let rest = async {
-            let mut bytes = [0; 1_024];
-            while matches!((&stream).read(&mut bytes).await, Ok(count) if count > 0) {}
-        };
+    if stream.get_ref().shutdown(Shutdown::Write).is_ok() && lingers.get() {
         let late = async {
             Timer::after(LINGER).await;
         };
-        rest.or(late).await;
+        throw_away(&stream, front).or(late).await;
+    }
+}
+
+async fn throw_away(stream: &Async<TcpStream>, front: &Front) {
+    let quiet = || async {
+        Timer::after(LINGER_QUIET).await;
+        Ok(0)
+    };
+    let some = |stream: &TcpStream| front.room.read(|bytes| (&mut &*stream).read(bytes), |_| {});
+    while !front.room.full() && stream.read_with(some).or(quiet()).await.is_ok_and(|count| count > 0) {
+        future::yield_now().await;
     }
 }
 
 /// Reads until the sidecar ends its side, or the desk has let it go.
 async fn read(
-    conn: ConnId, stream: &Async<TcpStream>, names: Rc<Names>, mut part: Part, desk: &Sender<Input>,
-    open: &Cell<usize>, over: &Receiver<Parcel>,
-) -> Result<(), Malformed> {
-    let mut decoder = Decoder::new(names);
-    let mut bytes = vec![0; READ];
+    conn: ConnId, stream: &Async<TcpStream>, front: &Front, open: &Cell<usize>, over: &Receiver<Parcel>,
+) -> Result<End, Malformed> {
+    let mut decoder = Decoder::new(front.names.clone());
+    let mut part = front.room.part();
+    let mut whole_by = Some(Instant::now() + WHOLE_WITHIN);
     loop {
-        let count = (&mut &*stream).read(&mut bytes).await.unwrap_or(0);
+        let some = stream.read_with(|stream| {
+            front.room.read(|bytes| (&mut &*stream).read(bytes), |bytes| decoder.feed(bytes))
+        });
+        let late = async {
+            match whole_by {
+                Some(by) => drop(Timer::at(by).await),
+                None => future::pending().await,
+            }
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let count = match some.or(late).await {
+            Ok(count) => count,
+            Err(e) if e.kind() == io::ErrorKind::TimedOut && whole_by.is_some() => {
+                return Err(Malformed("no whole frame in time"));
+            }
+            Err(_) => return Ok(End::Gone),
+        };
         if count == 0 {
             let midway = decoder.midway() > 0;
-            return if midway { Err(Malformed("the connection ended in a frame")) } else { Ok(()) };
+            return if midway {
+                Err(Malformed("the connection ended in a frame"))
+            } else {
+                Ok(End::Finished)
+            };
         }
         // Nothing more is taken from a sidecar that was cut off.
         if over.is_closed() {
-            return Ok(());
+            return Ok(End::Finished);
         }
-        decoder.feed(&bytes[..count]);
+        let mut any = false;
         while let Some(message) = decoder.message()? {
+            any = true;
             let input = match message {
                 Message::Req(req) if open.get() < MOST_OPEN => Input::Req(conn, req),
                 Message::Req(req) => Input::Surplus(conn, req.stream),
@@ -104,12 +132,19 @@
             if !matches!(input, Input::Check { .. }) {
                 open.set(open.get() + 1);
             }
-            if desk.send(input).await.is_err() {
-                return Ok(());
+            if front.desk.send(input).await.is_err() {
+                return Ok(End::Finished);
             }
         }
-        if !part.set(decoder.midway().saturating_sub(READ)) {
+        whole_by = match (decoder.midway(), any) {
+            (0, true) => None,
+            (_, true) => Some(Instant::now() + WHOLE_WITHIN),
+            (_, false) => whole_by.or_else(|| Some(Instant::now() + WHOLE_WITHIN)),
+        };
+        if !part.set(decoder.midway().saturating_sub(SMALL)) {
             return Err(Malformed("too much lies here in unfinished frames"));
         }
+        // One that sends without a pause takes its turn beside the others.
+        future::yield_now().await;
     }
 }
--- a/crates/server/src/keys.rs
+++ b/crates/server/src/keys.rs
@@ -3,9 +3,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Results kept for repeats, in bytes; past that the oldest go, and their repeats are errored.
-const MOST_BYTES: usize = 16 << 20;
-
 /// What repeats have in common: their handler and their mark.
 pub type Key = (HandlerId, Box<str>);
 
@@ -72,8 +69,9 @@
         Some(entry)
     }
 
-    /// Notes how a kept req ended; an open read's entry stays for `fresh` if it went well, else it goes.
-    pub fn ended(&mut self, now: Time, id: ReqId, result: Option<Rc<[u8]>>, fresh: Time) {
+    /// Notes how a kept req ended; an open read's entry stays for `fresh` if it went well, else it goes. Results
+    /// take `most` bytes; past that the oldest go, and their repeats are errored.
+    pub fn ended(&mut self, now: Time, id: ReqId, result: Option<Rc<[u8]>>, fresh: Time, most: usize) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let read = entry.until.is_none();
         entry.outcome = result.map_or(Outcome::Failed, |result| Outcome::Done(Some(result)));
@@ -90,7 +88,7 @@
             }
         }
         let mut oldest = self.entries.iter_mut();
-        while self.bytes > MOST_BYTES {
+        while self.bytes > most {
             let Some((_, entry)) = oldest.next() else { break };
             if let Outcome::Done(result) = &mut entry.outcome {
                 self.bytes -= result.take().map_or(0, |r| r.len());
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod intake;
 pub mod keys;
 pub mod report;
+pub mod room;
 pub mod run;
 pub mod serve;
 pub mod time;
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -1,13 +1,13 @@
 //! Puts the parts together and runs them on one thread.
 use crate::config::Config;
 use crate::desk::{Desk, Lines, MOST_INPUTS};
+use crate::intake::Front;
+use crate::room::Room;
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
 use crate::{accept, drain, report, run};
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
 use futures_lite::FutureExt;
-use std::net::TcpListener;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
@@ -16,13 +16,17 @@
 pub fn serve(path: String, config: Config) -> Result<(), String> {
     // First of all: until this stands, a signal has its default action.
     let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
-    let listener = Async::<TcpListener>::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener =
+        accept::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
     let clock = Clock::start();
     let decider = config.decider(clock.now())?;
-    let names =
-        Names { handlers: config.places.handlers.clone(), customers: config.places.customers.clone() };
+    let names = Names {
+        handlers: config.places.handlers.clone(),
+        customers: config.places.customers.clone(),
+        longest_ms: config.longest,
+    };
+    let room = Room::new(config.connections, config.memory);
     let config = Rc::new(config);
     let (to_desk, inputs) = async_channel::bounded(MOST_INPUTS);
     let (close, closed) = async_channel::bounded(1);
@@ -31,19 +35,14 @@
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(name = config.name, %listen, "serving");
 
-    let accepting = accept::listen(
-        executor.clone(),
-        listener,
-        config.connections,
-        Rc::new(names),
-        to_desk.clone(),
-        closed,
-    );
+    let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone() };
+    let accepting = accept::listen(executor.clone(), listener, Rc::new(front), closed);
     let accepting = executor.spawn(accepting);
     let running = executor.spawn(run::keep(config.engine, moves, to_desk.clone()));
     let reporting = executor.spawn(report::keep(config.control, config.name.clone(), changes));
     let watching = executor.spawn(drain::watch(signals, path, to_desk.clone()));
-    let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, Lines { news, engine, close });
+    let desk =
+        Desk::new(config, decider, clock, executor.clone(), to_desk, room, Lines { news, engine, close });
     // Without any of these the server would be half alive: a panic in one ends it, with a word why.
     let all = desk.run(inputs).or(kept(accepting)).or(kept(running)).or(kept(reporting)).or(kept(watching));
     async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
--- a/crates/server/src/wire/sidecar.rs
+++ b/crates/server/src/wire/sidecar.rs
@@ -8,6 +8,8 @@
 const HEAD: usize = 4;
 const MOST_BODY: usize = 2_048;
 const MOST_KB: f64 = 2_000.0;
+/// Work that no req is meant to be: this many times the longest client timeout, on one core.
+const MOST_COST: f64 = 4.0;
 /// Streams noted ahead of a gap in their numbers; past that the oldest gap counts as used.
 const MOST_AHEAD: usize = 1_024;
 const REQUEST: u8 = 1;
@@ -24,11 +26,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Stream(pub u32);
 
-/// The names that the settings give to handlers and customers, in their order.
+/// What the settings say of reqs: the names of handlers and customers in their order, and how long one lives.
 #[derive(Debug, Default)]
 pub struct Names {
     pub handlers: Vec<String>,
     pub customers: Vec<String>,
+    /// The longest client timeout.
+    pub longest_ms: f64,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -175,6 +179,10 @@
     if rank.is_some_and(|r| r >= 1.0) {
         return Err("rank is out of bounds");
     }
+    let cost = number(one("cost", "cost repeated")?, "cost is not a number")?;
+    if cost.is_some_and(|ms| ms > names.longest_ms * MOST_COST) {
+        return Err("cost is out of bounds");
+    }
     let mark = match one("once", "once repeated")? {
         None => one("key", "key repeated")?,
         once => once,
@@ -189,7 +197,7 @@
         customer: customer.map(CustomerId),
         at: at.parse().map_err(|_| "at is not a number")?,
         retry,
-        hint: number(one("cost", "cost repeated")?, "cost is not a number")?.filter(|ms| *ms > 0.0),
+        hint: cost.filter(|ms| *ms > 0.0),
         kb,
         mark: mark.map(Into::into),
         body: body.to_vec(),
--- a/crates/server/tests/serve/reqs.rs
+++ b/crates/server/tests/serve/reqs.rs
@@ -77,6 +77,7 @@
     let without =
         |place: usize| good.iter().copied().enumerate().filter(move |(n, _)| *n != place).map(|f| f.1);
     let mut bad = vec![with(0, "nobody"), with(1, "12"), with(1, "00000000000000fg"), with(2, "now")];
+    bad.push(good.iter().copied().chain([("cost", "1e300")]).collect());
     bad.extend([with(3, "x"), with(4, "0"), with(4, "2000"), with(4, "NaN"), twice("kb"), twice("tenant")]);
     bad.extend((0..5).map(|place| without(place).collect()));
     for (n, fields) in bad.iter().enumerate() {
@@ -121,6 +122,25 @@
     assert_eq!(sidecar.hear().unwrap().body, b"in time", "nothing stands between the two answers");
 }
 
+/// Guards load and pace against stamps that are wrong: they are no sign that reqs lie unread here.
+#[test]
+fn a_wrong_stamp_does_not_teach_that_reqs_lie_unread() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    let mut rude = rig.sidecar();
+    for n in 1..=20 {
+        let (id, at) = (id(n.into()), (unix_ms() - 1_000).to_string());
+        let fields = [("class", READ), ("id", &id), ("at", &at), ("from", "1"), ("kb", "1.0")];
+        rude.send(1, n, &fields, b"").unwrap();
+        let run = started(&mut link);
+        link.say(&format!("NO RUN {run}")).unwrap();
+        assert_eq!(rude.hear().unwrap().code, 9);
+    }
+    ask(&mut sidecar, 21, READ, &[], b"");
+    run_through(&mut link, 1, b"");
+    assert_eq!(sidecar.hear().unwrap().field("say"), Some("1"), "all of the traffic is still wanted");
+}
+
 /// Guards due times against clocks that differ by hours, either way.
 #[test]
 fn a_req_stamped_by_a_differing_clock_is_served() {
