Make each call to the records service on a connection of its own

A 200 without a length was believed at a close that may have cut it short.

Now no connection is reused; what follows a reply is never read; only the body of a 200 is waited for; a length is digits.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -2,7 +2,7 @@
 //! comes to it as a value; it asks the decider and carries the results out in the order in which they stand.
 //! It never waits on a socket.
 use crate::answer::{Outlets, Parcel};
-use crate::call::{CallError, Records};
+use crate::call::{self, CallError};
 use crate::config::Config;
 use crate::drain::{self, Stage};
 use crate::health::Health;
@@ -138,7 +138,6 @@
     calls: u64,
     outlets: Outlets,
     engine: Engine,
-    records: Rc<Records>,
     room: Rc<Room>,
     keys: Keys,
     health: Health,
@@ -165,7 +164,6 @@
         inputs: Sender<Input>, room: Rc<Room>, lines: Lines,
     ) -> Self {
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
-        let records = Rc::new(Records::new(config.records));
         Desk {
             config,
             classes,
@@ -180,7 +178,6 @@
             calls: 0,
             outlets: Outlets::default(),
             engine: Engine::default(),
-            records,
             room,
             keys: Keys::default(),
             health: Health::default(),
@@ -248,7 +245,6 @@
         self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
         self.make_room(now);
-        self.records.retire();
         if self.engine.overdue(now) {
             self.engine.resume(Vec::new());
         }
@@ -348,7 +344,6 @@
         if config.control != self.config.control {
             let _ = self.news.try_send(News::Moved(config.control));
         }
-        self.records.moved(config.records);
         self.room.told(&config);
         tracing::info!(
             engine = %config.engine, records = %config.records, control = %config.control,
@@ -712,10 +707,10 @@
         let Some((_, body)) = &entry.need else { return };
         self.calls += 1;
         let no = CallNo(self.calls);
-        let (records, inputs) = (self.records.clone(), self.inputs.clone());
+        let (records, inputs) = (self.config.records, self.inputs.clone());
         let (of, body) = (entry.wire, body.clone());
         let task = self.executor.spawn(async move {
-            let result = records.call(of, body, cap).await;
+            let result = call::call(records, of, body, cap).await;
             let _ = inputs.send(Input::Called(id, no, result)).await;
         });
         entry.call = Some((no, task));
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -21,7 +21,6 @@
 /// Reports until the program ends. News goes out at once, whatever report still waits for its answer.
 pub async fn keep(mut addr: SocketAddr, name: String, changes: Receiver<News>) {
     let path = format!("/v2/endpoints/{name}");
-    let mut kept = None;
     let mut beat = Timer::interval_at(std::time::Instant::now(), EACH);
     let (mut failing, mut ready) = (false, false);
     loop {
@@ -33,7 +32,7 @@
         let result = loop {
             match news.take() {
                 Some(News::Health(good)) => ready = good,
-                Some(News::Moved(to)) => (addr, kept) = (to, None),
+                Some(News::Moved(to)) => addr = to,
                 None => {}
             }
             let condition = if ready { "Ready" } else { "NotReady" };
@@ -42,7 +41,7 @@
                 Timer::after(LIMIT).await;
                 Err(io::ErrorKind::TimedOut.into())
             };
-            let answered = async { Ok(report(addr, &path, body.as_bytes(), kept.take()).or(late).await) };
+            let answered = async { Ok(report(addr, &path, body.as_bytes()).or(late).await) };
             match answered.or(async { Err(heard(&changes).await) }).await {
                 Ok(result) => break result,
                 Err(more) => news = more,
@@ -55,7 +54,6 @@
                 Ok(_) => tracing::info!("reports to the control plane arrive again"),
             }
         }
-        kept = result.ok().flatten();
     }
 }
 
@@ -66,23 +64,10 @@
     }
 }
 
-/// One report; a kept connection that has gone stale is replaced once. Returns the connection if it serves on.
-async fn report(
-    addr: SocketAddr, path: &str, body: &[u8], kept: Option<Async<TcpStream>>,
-) -> io::Result<Option<Async<TcpStream>>> {
-    if let Some(stream) = kept {
-        if let Ok(stream) = put(stream, addr, path, body).await {
-            return Ok(stream);
-        }
-    }
-    let stream = Async::<TcpStream>::connect(addr).await?;
+/// One report, on a connection of its own.
+async fn report(addr: SocketAddr, path: &str, body: &[u8]) -> io::Result<()> {
+    let mut stream = Async::<TcpStream>::connect(addr).await?;
     let _ = stream.get_ref().set_nodelay(true);
-    put(stream, addr, path, body).await
-}
-
-async fn put(
-    mut stream: Async<TcpStream>, addr: SocketAddr, path: &str, body: &[u8],
-) -> io::Result<Option<Async<TcpStream>>> {
     let mut bytes = Vec::new();
     http::request("PUT", path, &addr.to_string(), &[], body, &mut bytes);
     stream.write_all(&bytes).await?;
@@ -92,8 +77,8 @@
         let count = stream.read(&mut read).await?;
         decoder.feed(&read[..count]);
         let reply = decoder.reply().map_err(|wrong| io::Error::new(io::ErrorKind::InvalidData, wrong.0))?;
-        match reply.or_else(|| if count == 0 { decoder.ended() } else { None }) {
-            Some(reply) if (200..300).contains(&reply.status) => return Ok(reply.keeps.then_some(stream)),
+        match reply {
+            Some(reply) if (200..300).contains(&reply.status) => return Ok(()),
             Some(reply) => return Err(io::Error::other(format!("answered {}", reply.status))),
             None if count == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
             None => {}
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 as a client speaks it: one request, one reply.
+//! HTTP/1.1 as a client speaks it: one request, one reply. What follows the reply is never read.
 use super::{Malformed, Pending};
 
 const MOST_HEAD: usize = 16_384;
@@ -20,9 +20,8 @@
     pub status: u16,
     /// The service says that the call never ran.
     pub not_begun: bool,
+    /// Only a 200 has one that counts.
     pub body: Vec<u8>,
-    /// Whether the connection serves another request.
-    pub keeps: bool,
 }
 
 /// Where the body stands.
@@ -30,7 +29,6 @@
 enum Body {
     Sized(usize),
     Chunked,
-    UntilClose,
 }
 
 #[derive(Debug, Default)]
@@ -61,14 +59,9 @@
         match body {
             Body::Sized(length) if self.pending.rest().len() >= length => {
                 reply.body = self.pending.rest()[..length].to_vec();
-                self.pending.take(length);
-                reply.keeps &= self.pending.rest().is_empty();
-                return Ok(Some(reply));
-            }
-            Body::Chunked if self.chunks(&mut reply.body)? => {
-                reply.keeps &= self.pending.rest().is_empty();
                 return Ok(Some(reply));
             }
+            Body::Chunked if self.chunks(&mut reply.body)? => return Ok(Some(reply)),
             _ if self.pending.rest().len() > MOST_BODY => return Err(Malformed("a body is too long")),
             _ => {}
         }
@@ -76,13 +69,6 @@
         Ok(None)
     }
 
-    /// The reply of a connection that has ended, where its end is what ends the body.
-    pub fn ended(&mut self) -> Option<Reply> {
-        let (mut reply, _) = self.head.take().filter(|(_, body)| *body == Body::UntilClose)?;
-        reply.body = self.pending.rest().to_vec();
-        Some(reply)
-    }
-
     /// Moves whole chunks over; true after the last.
     fn chunks(&mut self, to: &mut Vec<u8>) -> Result<bool, Malformed> {
         loop {
@@ -116,33 +102,33 @@
     let text = std::str::from_utf8(bytes).map_err(|_| Malformed("a head is not text"))?;
     let mut lines = text.split("\r\n");
     let mut first = lines.next().unwrap_or_default().splitn(3, ' ');
-    let version = first.next().filter(|v| v.starts_with("HTTP/1.")).ok_or(Malformed("not HTTP/1"))?;
+    first.next().filter(|v| v.starts_with("HTTP/1.")).ok_or(Malformed("not HTTP/1"))?;
     let status = first.next().filter(|s| s.len() == 3).and_then(|s| s.parse::<u16>().ok());
     let status = status.filter(|s| (100..600).contains(s)).ok_or(Malformed("no status"))?;
-    let mut body =
-        if status < 200 || status == 204 || status == 304 { Body::Sized(0) } else { Body::UntilClose };
-    let bodiless = body == Body::Sized(0);
-    let (mut not_begun, mut keeps) = (false, version == "HTTP/1.1");
+    let mut body = (status != 200).then_some(Body::Sized(0));
+    let (bodiless, mut not_begun) = (body.is_some(), false);
     for line in lines.filter(|l| !l.is_empty()) {
         let (name, value) = line.split_once(':').ok_or(Malformed("a header without a colon"))?;
         let (name, value) = (name.to_ascii_lowercase(), value.trim());
         match name.as_str() {
-            "content-length" if body != Body::Chunked && !bodiless => {
-                let length = value.parse().ok().filter(|l| *l <= MOST_BODY).ok_or(Malformed("a length"))?;
-                if matches!(body, Body::Sized(other) if other != length) {
+            "content-length" if body != Some(Body::Chunked) && !bodiless => {
+                let digits = value.bytes().all(|b| b.is_ascii_digit());
+                let length = value.parse().ok().filter(|l| digits && *l <= MOST_BODY);
+                let length = length.ok_or(Malformed("a length"))?;
+                if matches!(body, Some(Body::Sized(other)) if other != length) {
                     return Err(Malformed("two lengths"));
                 }
-                body = Body::Sized(length);
+                body = Some(Body::Sized(length));
             }
             "transfer-encoding" if !bodiless => {
                 let chunked = value.eq_ignore_ascii_case("chunked");
-                body = if chunked { Body::Chunked } else { Err(Malformed("an unknown encoding"))? };
+                body = if chunked { Some(Body::Chunked) } else { Err(Malformed("an unknown encoding"))? };
             }
-            "connection" => keeps &= !value.eq_ignore_ascii_case("close"),
             "op-not-begun" => not_begun = value == "1",
             _ => {}
         }
     }
-    keeps &= body != Body::UntilClose;
-    Ok((Reply { status, not_begun, body: Vec::new(), keeps }, body))
+    // One that ends with its connection may have been cut short: it is not believed.
+    let body = body.ok_or(Malformed("a body without a length"))?;
+    Ok((Reply { status, not_begun, body: Vec::new() }, body))
 }
