Tell waiting runs again what a broken link may have lost; a NO ends only what has no run

Any NO ended a begun run, so a FEED said twice would have errored it.

Now FEED and SKIP are kept until the run's next notice and said again past the fence where they were sent in the last second before the break; a NO counts for a RUN not begun and a HALT of an answered req; a run without an end is given up after four client timeouts.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -26,9 +26,13 @@
 
 /// Inputs that may wait for the desk; past that their senders wait.
 pub const MOST_INPUTS: usize = 1_024;
-/// A wake goes to the decider without gauges when none come within this time.
 /// Inputs taken before timers and other tasks have their turn.
 const AT_ONCE: usize = 64;
+/// What was written to the engine this long before its link broke may not have been read.
+const MAYBE_LOST: Time = SECOND;
+/// Multiple of the longest client timeout after which a run that nobody waits for holds its place no more.
+const FORGOTTEN: f64 = 4.0;
+/// A wake goes to the decider without gauges when none come within this time.
 const GAUGES_WITHIN: Time = Time(100);
 const CHORES: Time = Time(500);
 const CHORES_LEAVING: Time = Time(50);
@@ -94,6 +98,8 @@
     joined: Option<ReqId>,
     /// The call that the run waits for.
     need: Option<(NoticeNo, Vec<u8>)>,
+    /// When the run was told to go on from its call, and how, until the engine shows that it has.
+    told: Option<(Time, Command)>,
     call: Option<(CallNo, Task<()>)>,
 }
 
@@ -154,6 +160,8 @@
     tally: Tally,
     next_tally: Time,
     notice: Option<Time>,
+    /// When the engine's link last broke.
+    broke: Time,
     close: Option<Sender<()>>,
 }
 
@@ -191,6 +199,7 @@
             tally: Tally::default(),
             next_tally: clock.now(),
             notice: None,
+            broke: clock.now(),
             close: Some(lines.close),
         }
     }
@@ -252,6 +261,7 @@
             self.next_tally = now + TALLY;
             std::mem::take(&mut self.tally).log();
         }
+        self.forget_runs(now);
         self.keys.expire(now);
         let stage = drain::stage(self.notice, self.left(), now);
         if stage >= Stage::Closed && self.close.take().is_some() {
@@ -311,7 +321,10 @@
                 self.gone(now, conn);
             }
             Input::EngineUp { age_ms, outlet } => self.engine_up(now, age_ms, outlet),
-            Input::EngineDown(unsent) => self.engine.down(unsent),
+            Input::EngineDown(unsent) => {
+                self.broke = now;
+                self.engine.down(unsent);
+            }
             Input::Notice(notice) => self.noticed(now, notice),
             Input::Called(id, no, result) => self.called(now, id, no, result),
             Input::Reload(Ok(new)) => self.reload(*new),
@@ -454,6 +467,7 @@
             begun: false,
             joined: None,
             need: None,
+            told: None,
             call: None,
         };
         self.reqs.insert(id, entry);
@@ -469,7 +483,7 @@
             }
             Notice::Need { no, id, body } => {
                 let Some((id, entry)) = self.entry_of(id) else { return };
-                (entry.need, entry.begun) = (Some((no, body)), true);
+                (entry.need, entry.told, entry.begun) = (Some((no, body)), None, true);
                 let conn = entry.conn;
                 self.outlets.prove(conn);
                 let results = self.decider.call_wanted(now, id);
@@ -478,7 +492,7 @@
             Notice::Stats { tag, gauges } => {
                 self.engine.gauges_came(tag);
                 if self.engine.passed(tag) {
-                    let again = self.runs_to_repeat();
+                    let again = self.commands_to_repeat();
                     self.engine.resume(again);
                 } else if self.asked.is_some_and(|(asked, _)| asked == tag) {
                     self.asked = None;
@@ -495,9 +509,12 @@
                 let known = id.and_then(|id| self.entry_of(id)).filter(|(_, entry)| entry.running);
                 let Some((id, entry)) = known else { return };
                 tracing::debug!(command, id = ?entry.wire, "the engine refused a command");
-                let end = if entry.begun { RunEnd::Errored } else { RunEnd::Void };
+                // Any other says that this command was one too many, not that there is no run.
+                let none = command == "RUN" && !entry.begun || command == "HALT" && entry.answered;
                 self.tally.refused += 1;
-                self.run_over(now, id, end, Vec::new());
+                if none {
+                    self.run_over(now, id, RunEnd::Void, Vec::new());
+                }
             }
             Notice::Hello { .. } | Notice::Remark(_) | Notice::Unknown(_) => {}
         }
@@ -508,16 +525,26 @@
         self.reqs.get_mut(&id).map(|entry| (id, entry))
     }
 
-    /// Runs whose command may have been lost with the link: only replayable ones that showed no sign of life.
-    fn runs_to_repeat(&self) -> Vec<Command> {
-        let lost = |e: &&Entry| {
-            e.running
-                && !e.answered
-                && !e.begun
-                && self.config.kinds[e.new.handler.0] == Kind::Replayable
-                && !self.engine.waits(e.wire)
+    /// What may have been lost with the link though it was written whole: the commands of replayable runs that
+    /// showed no sign of life, and for runs that were told to go on shortly before, that.
+    fn commands_to_repeat(&self) -> Vec<Command> {
+        let lost = |e: &Entry| {
+            let replayable = self.config.kinds[e.new.handler.0] == Kind::Replayable;
+            let told = e.told.as_ref().filter(|(at, _)| self.broke - *at <= MAYBE_LOST);
+            let run = (!e.begun && replayable).then(|| self.run_command(e));
+            told.map(|(_, command)| command.clone()).or(run).filter(|command| !self.engine.waits(command))
         };
-        self.reqs.values().filter(lost).map(|e| self.run_command(e)).collect()
+        self.reqs.values().filter(|e| e.running && !e.answered).filter_map(lost).collect()
+    }
+
+    /// Runs of which nothing was heard since long after their clients gave up.
+    fn forget_runs(&mut self, now: Time) {
+        let long = span_of_ms(self.config.longest).times(FORGOTTEN);
+        let lost = self.reqs.iter().filter(|(_, e)| e.running && e.answered && now - e.arrived > long);
+        for id in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
+            tracing::warn!("a run that never ended is given up");
+            self.run_over(now, id, RunEnd::Void, Vec::new());
+        }
     }
 
     fn run_command(&self, entry: &Entry) -> Command {
@@ -528,7 +555,7 @@
     /// A run has ended: what is still owed goes out first, then the decider hears of it.
     fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, result: Vec<u8>) {
         let Some(entry) = self.reqs.get_mut(&id).filter(|e| e.running) else { return };
-        (entry.running, entry.need, entry.call) = (false, None, None);
+        (entry.running, entry.need, entry.told, entry.call) = (false, None, None, None);
         if end == RunEnd::Done {
             self.outlets.prove(entry.conn);
         }
@@ -594,8 +621,9 @@
         }
         let end = match result {
             Ok(reply) => {
-                entry.need = None;
-                self.engine.send(Command::Feed(entry.wire, reply));
+                let feed = Command::Feed(entry.wire, reply);
+                (entry.need, entry.told) = (None, Some((now, feed.clone())));
+                self.engine.send(feed);
                 CallEnd::Done
             }
             Err(error) => {
@@ -665,7 +693,9 @@
         for id in results.skip {
             let Some(entry) = self.reqs.get_mut(&id) else { continue };
             if let Some((need, _)) = entry.need.take() {
-                self.engine.send(Command::Skip(entry.wire, need));
+                let skip = Command::Skip(entry.wire, need);
+                entry.told = Some((now, skip.clone()));
+                self.engine.send(skip);
             }
         }
         if let Some(good) = results.health.filter(|_| self.engine.greeted) {
--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -1,7 +1,6 @@
 //! The link to the engine: kept open, taken up again where it broke.
 use crate::desk::Input;
 use crate::wire::engine::{Command, Decoder, Notice, NoticeNo, Tag};
-use crate::wire::WireId;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use cottondyke_decide::types::{Time, SECOND};
@@ -222,8 +221,8 @@
         again.into_iter().chain(backlog).for_each(|command| self.send(command));
     }
 
-    pub fn waits(&self, run: WireId) -> bool {
-        self.backlog.iter().any(|c| matches!(c, Command::Run { id, .. } if *id == run))
+    pub fn waits(&self, command: &Command) -> bool {
+        self.backlog.contains(command)
     }
 
     pub fn forget(&mut self) {
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -1,5 +1,5 @@
 //! The engine's link: late, broken, odd.
-use crate::peers::unix_ms;
+use crate::peers::{unix_ms, Service};
 use crate::rig::*;
 use std::io::Write;
 
@@ -67,6 +67,32 @@
     assert_eq!(started(&mut link), id(4), "nothing but the next run was commanded");
 }
 
+/// Guards runs against a command that was written whole and lost with the link: what lets them go on is said again,
+/// and a refusal of what was said twice ends nothing.
+#[test]
+fn what_was_told_to_a_waiting_run_is_told_again() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, PAY, &[], b"");
+    let run = started(&mut link);
+    link.say_with(&format!("NEED 1 {run}"), b"body").unwrap();
+    let mut service = Service::accept(&rig.records).unwrap();
+    service.asked().unwrap();
+    service.reply("200 OK", "", b"reply").unwrap();
+    assert_eq!(link.order().unwrap().1, b"reply");
+    drop(link);
+    let mut link = rig.link(1);
+    let (words, body) = link.order().unwrap();
+    assert_eq!((words[..2].join(" "), body.as_slice()), (format!("FEED {run}"), &b"reply"[..]));
+    link.say(&format!("NO FEED {run}")).unwrap();
+    link.say_with(&format!("DONE 2 {run} fine 1"), b"went on").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"went on");
+    drop(link);
+    let mut link = rig.link(2);
+    ask(&mut sidecar, 2, READ, &[], b"");
+    assert_eq!(started(&mut link), id(2), "nothing of the run that ended is said again");
+}
+
 /// Guards against a req whose run the engine refuses: it is answered, and the server goes on.
 #[test]
 fn a_refused_command_settles_its_req() {
