Make a call again at once when it ended with no reply of use, where that is safe

A spoilt, cut or 500 reply shows that the call is over and lies there no more: CallEnd::Spoilt, its place is taken again at once for replayable reqs. A timeout and 504 stay unknown.

--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -63,7 +63,8 @@
     match text(event, "ending")? {
         "delivered" => Ok(CallEnd::Done),
         "shed" | "dial_failed" | "unused" => Ok(CallEnd::NeverRan),
-        "app_error" | "expired" | "dropped" | "revoked" => Ok(CallEnd::Unknown),
+        "app_error" => Ok(CallEnd::Spoilt),
+        "expired" | "dropped" | "revoked" => Ok(CallEnd::Unknown),
         other => Err(format!("unknown ending {other} of a call")),
     }
 }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -405,11 +405,14 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             let handler = self.hold.handlers[req.handler()];
-            // A call is made again where that is safe or it never ran; what all share would hold both.
-            let again =
-                handler.kind == Kind::Replayable && self.calls.share.is_none() || end == CallEnd::NeverRan;
+            // A call is made again where that is safe or it never ran; what all share would hold both, but not
+            // where one has ended: the next takes its place at once.
+            let (ended, safe) = (end == CallEnd::Spoilt, handler.kind == Kind::Replayable);
+            let again = safe && (ended || self.calls.share.is_none()) || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
                 (req.phase, req.clock) = (Phase::OnCore, self.costs.clock);
+            } else if again && ended && req.tries < TRIES {
+                self.call(now, id, &mut out);
             } else if again && req.tries < TRIES {
                 req.phase = Phase::Wanting;
             } else if handler.skip_value > 0.0 && !req.answered {
@@ -606,8 +609,8 @@
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.left.is_some();
         let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
-        // Where no share can be advised, the time in which one req of each caller is taken: a server that
-        // refuses quickly looks free, and draws ever more. Else only past a full burden, and not all alike.
+        // Where no share can be advised, the time in which one req of each caller is taken: a quick refuser
+        // looks free and draws ever more. Else only past a full burden, and not all alike.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
         let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -133,7 +133,9 @@
     Done,
     /// Known not to have run.
     NeverRan,
-    /// It may have had its effect.
+    /// It ended with an error or a reply of no use; it may have had its effect.
+    Spoilt,
+    /// It may have had its effect, and may still go on.
     Unknown,
 }
 
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -105,6 +105,18 @@
     assert!(world.reqs[&id].answered && world.caps.len() == 1);
 }
 
+#[test]
+fn a_call_that_ended_without_a_reply_is_made_again_at_once_where_that_is_safe() {
+    // Its reply was spoilt on the way: nothing lies below, so its place there is free, shared or not.
+    for (kind, calls) in [(0, 2), (1, 1)] {
+        let mut world = World::new(Set { share: Some(6.0), ..PLAIN });
+        let id = world.arrive(kind, Time(0), TIMEOUT, None);
+        world.want_call(id);
+        world.end_call(id, CallEnd::Spoilt);
+        assert_eq!((world.caps.len(), world.reqs[&id].answered), (calls, kind == 1));
+    }
+}
+
 #[test]
 fn sheds_name_a_time_to_come_back_where_no_share_can_be_advised() {
     // A server that refused quickly and named no time drew the traffic of callers that pick the least busy.
--- a/crates/decide/tests/decide/rules.rs
+++ b/crates/decide/tests/decide/rules.rs
@@ -37,7 +37,10 @@
         }
         10 => {
             if let Some(id) = pick(world.ids(State::Calling)) {
-                world.end_call(id, [CallEnd::Done, CallEnd::NeverRan, CallEnd::Unknown][b as usize % 3]);
+                world.end_call(
+                    id,
+                    [CallEnd::Done, CallEnd::NeverRan, CallEnd::Unknown, CallEnd::Spoilt][b as usize % 4],
+                );
             }
         }
         11 => {
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -185,7 +185,7 @@
     pub fn end_call(&mut self, id: ReqId, end: CallEnd) {
         let noted = self.reqs.get_mut(&id).unwrap();
         noted.state = if end == CallEnd::Done { State::OnCore } else { State::Wanting };
-        noted.calls_unknown |= end == CallEnd::Unknown;
+        noted.calls_unknown |= matches!(end, CallEnd::Unknown | CallEnd::Spoilt);
         let results = self.decider.call_ended(self.now, id, end);
         self.apply(results);
     }
--- a/crates/server/src/call.rs
+++ b/crates/server/src/call.rs
@@ -16,7 +16,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
     NotBegun(&'static str),
+    /// It may go on.
     MaybeBegun(&'static str),
+    /// It was begun, and goes on no longer.
+    Ended(&'static str),
 }
 
 impl CallError {
@@ -24,6 +27,7 @@
         match self {
             CallError::NotBegun(_) => CallEnd::NeverRan,
             CallError::MaybeBegun(_) => CallEnd::Unknown,
+            CallError::Ended(_) => CallEnd::Spoilt,
         }
     }
 }
@@ -54,7 +58,8 @@
     match reply.status {
         200 => Ok(reply.body),
         503 | 409 if reply.not_begun => Err(CallError::NotBegun("turned away")),
-        _ => Err(CallError::MaybeBegun("answered with an error")),
+        504 => Err(CallError::MaybeBegun("ran out of time there")),
+        _ => Err(CallError::Ended("answered with an error")),
     }
 }
 
@@ -62,13 +67,13 @@
     let mut decoder = Decoder::default();
     let mut bytes = [0; READ];
     loop {
-        let broke = |_| CallError::MaybeBegun("broke before its reply");
+        let broke = |_| CallError::Ended("broke before its reply");
         let count = stream.read(&mut bytes).await.map_err(broke)?;
         if count == 0 {
-            return Err(CallError::MaybeBegun("closed before its reply"));
+            return Err(CallError::Ended("closed before its reply"));
         }
         decoder.feed(&bytes[..count]);
-        let malformed = |_| CallError::MaybeBegun("a malformed reply");
+        let malformed = |_| CallError::Ended("a malformed reply");
         if let Some(reply) = decoder.reply().map_err(malformed)? {
             return Ok(reply);
         }
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -630,7 +630,7 @@
                 tracing::debug!(?error, id = ?entry.wire, "a call failed");
                 match error {
                     CallError::NotBegun(_) => self.tally.calls_not_begun += 1,
-                    CallError::MaybeBegun(_) => self.tally.calls_failed += 1,
+                    CallError::MaybeBegun(_) | CallError::Ended(_) => self.tally.calls_failed += 1,
                 }
                 error.end()
             }
