--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -93,6 +93,25 @@
     assert_eq!(started(&mut link), id(2), "nothing of the run that ended is said again");
 }
 
+/// Guards the pool against a run that is neither heard of nor ended: long after its client gave up it holds no place.
+#[test]
+fn a_run_that_never_ends_is_given_up() {
+    let rig = Rig::with(|conf| {
+        for class in conf["settings"]["classes"].as_array_mut().unwrap() {
+            class["deadline_ms"] = 200.0.into();
+        }
+        conf["settings"]["family_info"]["n_cores"] = 1.into();
+        conf["settings"]["obligations"]["overload_factor"] = 2.into();
+    });
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, PAY, &[], b"");
+    started(&mut link);
+    assert_eq!(sidecar.hear().unwrap().code, 9);
+    rig.logged("a run that never ended is given up");
+    ask(&mut sidecar, 2, PAY, &[], b"");
+    assert_eq!(started(&mut link), id(2), "its place is free");
+}
+
 /// Guards against a req whose run the engine refuses: it is answered, and the server goes on.
 #[test]
 fn a_refused_command_settles_its_req() {
