Cut the engine's part out of the desk: a seam for kinds of work

Six modules imported each other in a circle, since Input and ConnId lived in desk.rs, and a started req could go to the engine alone. The ids and inputs now stand in input.rs; runs on the engine, their calls and what a broken link may have lost in work/engine.rs. A kind of work learns start, stop and due time, and ends each run once by an event. A run's result is a value that can name parts that are missing, kept as such for repeats.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -1,5 +1,5 @@
 //! Takes connections from sidecars, within the budget of descriptors.
-use crate::desk::{ConnId, Input};
+use crate::input::{ConnId, Input};
 use crate::intake::{self, Front};
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -1,5 +1,5 @@
 //! The way back to the sidecars: who is connected, what is said to them, and the writing of it.
-use crate::desk::ConnId;
+use crate::input::ConnId;
 use crate::wire::sidecar::Reply;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -1,4 +1,5 @@
 //! What the program is told at its start.
+use crate::time::span_of_ms;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::{Kind, Time};
 use cottondyke_settings::{self as settings, Places, Wrong};
@@ -26,6 +27,8 @@
     /// The longest client timeout, in milliseconds.
     pub longest: f64,
     pub kinds: Vec<Kind>,
+    /// Response target and client timeout by handler.
+    pub times: Vec<(Time, Time)>,
     /// How long the answer of a read may be handed to others.
     pub fresh: Time,
     pub places: Places,
@@ -52,7 +55,8 @@
         let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let connections = sockets.min(allowed.unwrap_or(sockets)).checked_sub(KEPT_BACK).filter(|n| *n > 0);
         let classes = conf.get("classes").and_then(Value::as_array).into_iter().flatten();
-        let timeouts = classes.filter_map(|class| class.get("deadline_ms"));
+        let ms = |class: &Value, key: &str| class.get(key).and_then(Value::as_f64).unwrap_or(0.0);
+        let times = classes.map(|class| (ms(class, "aim_ms"), ms(class, "deadline_ms"))).collect::<Vec<_>>();
         let places = settings::places(conf);
         if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
             return Err("settings: classes is empty or lacks a name".to_string());
@@ -67,7 +71,8 @@
             stop: Duration::from_millis(settings::whole(&all, "stop_ms")?),
             connections: connections.ok_or(format!("limits: sockets must be over {KEPT_BACK}"))? as usize,
             memory: (memory as usize).saturating_mul(1 << 20),
-            longest: timeouts.filter_map(Value::as_f64).fold(0.0, f64::max),
+            longest: times.iter().map(|(_, timeout)| *timeout).fold(0.0, f64::max),
+            times: times.iter().map(|(aim, timeout)| (span_of_ms(*aim), span_of_ms(*timeout))).collect(),
             kinds: settings::kinds(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             fresh: settings::fresh(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             places,
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -1,21 +1,21 @@
 //! The desk: the one owner of the decider, of the table of reqs and of the timers. Everything that happens
 //! comes to it as a value; it asks the decider and carries the results out in the order in which they stand.
 //! It never waits on a socket.
-use crate::answer::{Outlets, Parcel};
-use crate::call::{self, CallError};
+use crate::answer::Outlets;
 use crate::config::Config;
 use crate::drain::{self, Stage};
 use crate::health::Health;
+use crate::input::{ConnId, Input, Lines};
 use crate::keys::{Key, Keys, Outcome};
 use crate::report::News;
 use crate::room::Room;
-use crate::run::Engine;
 use crate::time::{ms, since_unix, span_of_ms, Clock};
-use crate::wire::engine::{Command, Notice, NoticeNo, Tag};
+use crate::wire::engine::Command;
 use crate::wire::sidecar::{Reply, Req, Stream};
 use crate::wire::WireId;
+use crate::work::{self, Event, Job, Output, Works};
 use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use async_executor::LocalExecutor;
 use async_io::Timer;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::*;
@@ -24,12 +24,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Inputs that may wait for the desk; past that their senders wait.
-pub const MOST_INPUTS: usize = 1_024;
 /// Inputs taken before timers and other tasks have their turn.
 const AT_ONCE: usize = 64;
-/// What was written to the engine this long before its link broke may not have been read.
-const MAYBE_LOST: Time = SECOND;
 /// Multiple of the longest client timeout after which a run that nobody waits for holds its place no more.
 const FORGOTTEN: f64 = 4.0;
 /// A wake goes to the decider without gauges when none come within this time.
@@ -38,50 +34,6 @@
 const CHORES_LEAVING: Time = Time(50);
 const TALLY: Time = SECOND;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnId(pub u64);
-
-/// Numbers the calls, so that the end of one given up is not taken for the end of the next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallNo(u64);
-
-/// What reaches the desk.
-pub enum Input {
-    Opened(ConnId, Sender<Parcel>),
-    Req(ConnId, Req),
-    /// A req past what may be open on a connection.
-    Surplus(ConnId, Stream),
-    Unfit(ConnId, Stream, &'static str),
-    Check {
-        conn: ConnId,
-        stream: Stream,
-        deep: bool,
-    },
-    /// The sidecar has sent its last.
-    Finished(ConnId),
-    Malformed(ConnId, &'static str),
-    Closed(ConnId),
-    EngineUp {
-        age_ms: f64,
-        outlet: Sender<Command>,
-    },
-    EngineDown(Vec<Command>),
-    Notice(Notice),
-    Called(ReqId, CallNo, Result<Vec<u8>, CallError>),
-    Leave,
-    /// The configuration, read anew.
-    Reload(Result<Box<Config>, String>),
-}
-
-/// The desk's lines to the tasks beside it.
-pub struct Lines {
-    pub news: Sender<News>,
-    /// New addresses of the engine.
-    pub engine: Sender<SocketAddr>,
-    /// Its end stops the listening.
-    pub close: Sender<()>,
-}
-
 /// What stands behind a req's id, from its arrival until it is answered and no run of it goes on.
 struct Entry {
     conn: ConnId,
@@ -93,14 +45,7 @@
     body: Rc<[u8]>,
     answered: bool,
     running: bool,
-    /// Whether the engine has shown that it runs.
-    begun: bool,
     joined: Option<ReqId>,
-    /// The call that the run waits for.
-    need: Option<(NoticeNo, Vec<u8>)>,
-    /// When the run was told to go on from its call, and how, until the engine shows that it has.
-    told: Option<(Time, Command)>,
-    call: Option<(CallNo, Task<()>)>,
 }
 
 /// What went wrong in the last second: one line at the most, whatever the number.
@@ -108,21 +53,19 @@
 struct Tally {
     unfit: u64,
     malformed: u64,
-    refused: u64,
-    calls_not_begun: u64,
-    calls_failed: u64,
     errored: u64,
     shed: u64,
 }
 
 impl Tally {
-    fn log(self) {
-        let Tally { unfit, malformed, refused, calls_not_begun, calls_failed, errored, shed } = self;
+    fn log(self, calls: work::engine::Tally) {
+        let Tally { unfit, malformed, errored, shed } = self;
+        let work::engine::Tally { not_begun, failed, refused } = calls;
         if unfit + malformed + refused > 0 {
             tracing::warn!(unfit, malformed, refused, "bad input in the last second");
         }
-        if calls_not_begun + calls_failed > 0 {
-            tracing::warn!(not_begun = calls_not_begun, failed = calls_failed, "calls in the last second");
+        if not_begun + failed > 0 {
+            tracing::warn!(not_begun, failed, "calls in the last second");
         }
         if errored + shed > 0 {
             tracing::info!(errored, shed, "answered without a run's result in the last second");
@@ -132,18 +75,14 @@
 
 pub struct Desk {
     config: Rc<Config>,
-    classes: Vec<Rc<str>>,
     clock: Clock,
     started: Time,
-    executor: Rc<LocalExecutor<'static>>,
-    inputs: Sender<Input>,
     decider: Decider,
     reqs: BTreeMap<ReqId, Entry>,
     by_wire: BTreeMap<WireId, ReqId>,
     next_id: u32,
-    calls: u64,
     outlets: Outlets,
-    engine: Engine,
+    works: Works,
     room: Rc<Room>,
     keys: Keys,
     health: Health,
@@ -152,16 +91,14 @@
     news: Sender<News>,
     moves: Sender<SocketAddr>,
     wakes: BTreeSet<Time>,
-    /// Gauges asked for, and until when they are waited for.
-    asked: Option<(Tag, Time)>,
+    /// Until when gauges that were asked for are waited for.
+    asked: Option<Time>,
     /// Joined reqs whose answer is known, told to the decider once its results are carried out.
     joined: VecDeque<(ReqId, RunEnd)>,
     next_chores: Time,
     tally: Tally,
     next_tally: Time,
     notice: Option<Time>,
-    /// When the engine's link last broke.
-    broke: Time,
     close: Option<Sender<()>>,
 }
 
@@ -171,21 +108,20 @@
         config: Rc<Config>, decider: Decider, clock: Clock, executor: Rc<LocalExecutor<'static>>,
         inputs: Sender<Input>, room: Rc<Room>, lines: Lines,
     ) -> Self {
+        let now = clock.now();
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
+        let engine = work::engine::Runs::new(now, config.records, config.places.busy, executor, inputs);
+        let works = Works::new(engine, classes, config.kinds.clone());
         Desk {
             config,
-            classes,
             clock,
-            started: clock.now(),
-            executor,
-            inputs,
+            started: now,
             decider,
             reqs: BTreeMap::new(),
             by_wire: BTreeMap::new(),
             next_id: 0,
-            calls: 0,
             outlets: Outlets::default(),
-            engine: Engine::default(),
+            works,
             room,
             keys: Keys::default(),
             health: Health::default(),
@@ -199,7 +135,6 @@
             tally: Tally::default(),
             next_tally: clock.now(),
             notice: None,
-            broke: clock.now(),
             close: Some(lines.close),
         }
     }
@@ -225,9 +160,8 @@
     }
 
     fn next_timer(&self) -> Time {
-        let asked = self.asked.map(|(_, until)| until);
         let wake = self.wakes.first().copied();
-        [asked, wake, self.health.next()].into_iter().flatten().fold(self.next_chores, Time::min)
+        [self.asked, wake, self.health.next()].into_iter().flatten().fold(self.next_chores, Time::min)
     }
 
     /// Does what is due by the clock; true once the server has left.
@@ -236,16 +170,18 @@
         for (conn, stream) in self.health.overdue(now) {
             self.outlets.send(now, conn, &Reply::Checked { stream, good: false });
         }
-        if self.asked.is_some_and(|(_, until)| until <= now) {
+        if self.asked.is_some_and(|until| until <= now) {
             self.asked = None;
+            self.works.engine.no_gauges();
             self.wake(now, Gauges::default());
         }
         let waiting = self.wakes.len();
         self.wakes.retain(|at| *at > now);
         if self.wakes.len() < waiting && self.asked.is_none() {
-            match self.engine.ask_gauges() {
-                Some(tag) => self.asked = Some((tag, now + GAUGES_WITHIN)),
-                None => self.wake(now, Gauges::default()),
+            if self.works.engine.ask_gauges() {
+                self.asked = Some(now + GAUGES_WITHIN);
+            } else {
+                self.wake(now, Gauges::default());
             }
         }
         if now < self.next_chores {
@@ -254,12 +190,10 @@
         self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
         self.make_room(now);
-        if self.engine.overdue(now) {
-            self.engine.resume(Vec::new());
-        }
+        self.works.engine.chores(now);
         if now >= self.next_tally {
             self.next_tally = now + TALLY;
-            std::mem::take(&mut self.tally).log();
+            std::mem::take(&mut self.tally).log(std::mem::take(&mut self.works.engine.tally));
         }
         self.forget_runs(now);
         self.keys.expire(now);
@@ -321,12 +255,17 @@
                 self.gone(now, conn);
             }
             Input::EngineUp { age_ms, outlet } => self.engine_up(now, age_ms, outlet),
-            Input::EngineDown(unsent) => {
-                self.broke = now;
-                self.engine.down(unsent);
+            Input::EngineDown(unsent) => self.works.engine.down(now, unsent),
+            Input::Notice(notice) => {
+                for event in self.works.engine.noticed(notice) {
+                    self.worked(now, event);
+                }
+            }
+            Input::Called(id, no, result) => {
+                if let Some(event) = self.works.engine.called(now, id, no, result) {
+                    self.worked(now, event);
+                }
             }
-            Input::Notice(notice) => self.noticed(now, notice),
-            Input::Called(id, no, result) => self.called(now, id, no, result),
             Input::Reload(Ok(new)) => self.reload(*new),
             Input::Reload(Err(wrong)) => {
                 tracing::error!(wrong, "the configuration read anew is no good; the old one stays in force");
@@ -357,6 +296,7 @@
         if config.control != self.config.control {
             let _ = self.news.try_send(News::Moved(config.control));
         }
+        self.works.engine.moved(config.records);
         self.room.told(&config);
         tracing::info!(
             engine = %config.engine, records = %config.records, control = %config.control,
@@ -368,8 +308,8 @@
     /// The first hello tells when the engine started. The decider reckons from there, but not from before this
     /// program could observe anything. Nothing has run by then: what is open arrives anew.
     fn engine_up(&mut self, now: Time, age_ms: f64, outlet: Sender<Command>) {
-        let first = !self.engine.greeted;
-        self.engine.up(now, outlet);
+        let first = !self.works.engine.greeted();
+        self.works.engine.up(now, outlet);
         tracing::info!(first, age_ms, "the engine is there");
         if !first {
             return;
@@ -378,7 +318,7 @@
             Ok(decider) => self.decider = decider,
             Err(wrong) => tracing::error!(wrong, "the settings no longer give a decider"),
         }
-        self.engine.forget();
+        self.works.forget_all();
         self.reqs.retain(|_, r| !r.answered);
         self.by_wire.retain(|_, id| self.reqs.contains_key(id));
         self.wakes.clear();
@@ -399,9 +339,9 @@
     }
 
     fn checked(&mut self, now: Time, conn: ConnId, stream: Stream, deep: bool) {
-        match self.health.answer(deep, self.engine.is_up()) {
+        match self.health.answer(deep, self.works.engine.is_up()) {
             Some(good) => self.outlets.send(now, conn, &Reply::Checked { stream, good }),
-            None => match self.engine.ask(Command::Test) {
+            None => match self.works.engine.test() {
                 Some(tag) => self.health.testing(now, tag, conn, stream),
                 None => self.outlets.send(now, conn, &Reply::Checked { stream, good: false }),
             },
@@ -464,106 +404,63 @@
             body: req.body.into(),
             answered: false,
             running: false,
-            begun: false,
             joined: None,
-            need: None,
-            told: None,
-            call: None,
         };
         self.reqs.insert(id, entry);
         let results = self.decider.arrival(now, new);
         self.carry_all(now, results);
     }
 
-    fn noticed(&mut self, now: Time, notice: Notice) {
-        match notice {
-            Notice::Done { id, end, result, .. } => {
-                let Some(id) = self.by_wire.get(&id).copied() else { return };
-                self.run_over(now, id, end, result);
+    /// What a kind of work tells.
+    fn worked(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Lives(id) => {
+                if let Some(entry) = self.reqs.get(&id) {
+                    self.outlets.prove(entry.conn);
+                }
             }
-            Notice::Need { no, id, body } => {
-                let Some((id, entry)) = self.entry_of(id) else { return };
-                (entry.need, entry.told, entry.begun) = (Some((no, body)), None, true);
-                let conn = entry.conn;
-                self.outlets.prove(conn);
+            Event::Ended(id, end, output) => self.run_over(now, id, end, output),
+            Event::CallWanted(id) => {
                 let results = self.decider.call_wanted(now, id);
                 self.carry_all(now, results);
             }
-            Notice::Stats { tag, gauges } => {
-                self.engine.gauges_came(tag);
-                if self.engine.passed(tag) {
-                    let again = self.commands_to_repeat();
-                    self.engine.resume(again);
-                } else if self.asked.is_some_and(|(asked, _)| asked == tag) {
-                    self.asked = None;
-                    let busy = self.config.places.busy.and_then(|place| gauges.get(place).copied());
-                    self.wake(now, Gauges { busy: busy.filter(|b| b.is_finite()) });
-                }
+            Event::CallEnded(id, end) => {
+                let results = self.decider.call_ended(now, id, end);
+                self.carry_all(now, results);
+            }
+            Event::Gauges(busy) => {
+                self.asked = None;
+                self.wake(now, Gauges { busy });
             }
-            Notice::Tested { tag, good } => {
+            Event::Tested(tag, good) => {
                 if let Some((conn, stream)) = self.health.tested(tag) {
                     self.outlets.send(now, conn, &Reply::Checked { stream, good });
                 }
             }
-            Notice::Refused { command, id } => {
-                let known = id.and_then(|id| self.entry_of(id)).filter(|(_, entry)| entry.running);
-                let Some((id, entry)) = known else { return };
-                tracing::debug!(command, id = ?entry.wire, "the engine refused a command");
-                // Any other says that this command was one too many, not that there is no run.
-                let none = command == "RUN" && !entry.begun || command == "HALT" && entry.answered;
-                self.tally.refused += 1;
-                if none {
-                    self.run_over(now, id, RunEnd::Void, Vec::new());
-                }
-            }
-            Notice::Hello { .. } | Notice::Remark(_) | Notice::Unknown(_) => {}
         }
     }
 
-    fn entry_of(&mut self, wire: WireId) -> Option<(ReqId, &mut Entry)> {
-        let id = *self.by_wire.get(&wire)?;
-        self.reqs.get_mut(&id).map(|entry| (id, entry))
-    }
-
-    /// What may have been lost with the link though it was written whole: the commands of replayable runs that
-    /// showed no sign of life, and for runs that were told to go on shortly before, that.
-    fn commands_to_repeat(&self) -> Vec<Command> {
-        let lost = |e: &Entry| {
-            let replayable = self.config.kinds[e.new.handler.0] == Kind::Replayable;
-            let told = e.told.as_ref().filter(|(at, _)| self.broke - *at <= MAYBE_LOST);
-            let run = (!e.begun && replayable).then(|| self.run_command(e));
-            told.map(|(_, command)| command.clone()).or(run).filter(|command| !self.engine.waits(command))
-        };
-        self.reqs.values().filter(|e| e.running && !e.answered).filter_map(lost).collect()
-    }
-
     /// Runs of which nothing was heard since long after their clients gave up.
     fn forget_runs(&mut self, now: Time) {
         let long = span_of_ms(self.config.longest).times(FORGOTTEN);
         let lost = self.reqs.iter().filter(|(_, e)| e.running && e.answered && now - e.arrived > long);
         for id in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
             tracing::warn!("a run that never ended is given up");
-            self.run_over(now, id, RunEnd::Void, Vec::new());
+            self.run_over(now, id, RunEnd::Void, Output::default());
         }
     }
 
-    fn run_command(&self, entry: &Entry) -> Command {
-        let class = self.classes[entry.new.handler.0].clone();
-        Command::Run { id: entry.wire, class, body: entry.body.clone() }
-    }
-
     /// A run has ended: what is still owed goes out first, then the decider hears of it.
-    fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, result: Vec<u8>) {
+    fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, output: Output) {
         let Some(entry) = self.reqs.get_mut(&id).filter(|e| e.running) else { return };
-        (entry.running, entry.need, entry.told, entry.call) = (false, None, None, None);
+        entry.running = false;
+        self.works.forget(id);
         if end == RunEnd::Done {
             self.outlets.prove(entry.conn);
         }
-        let kept: Option<Rc<[u8]>> =
-            (end == RunEnd::Done && entry.key.is_some()).then(|| result.as_slice().into());
-        let stream = entry.stream;
-        let shared = entry.key.is_some();
-        let reply = if end == RunEnd::Done { Reply::Done(stream, result) } else { Reply::Errored(stream) };
+        let (stream, shared) = (entry.stream, entry.key.is_some());
+        let kept = (end == RunEnd::Done && shared).then(|| Rc::new(output.clone()));
+        let reply = if end == RunEnd::Done { Reply::Done(stream, output) } else { Reply::Errored(stream) };
         self.answer(now, id, reply);
         if shared {
             self.keys.ended(now, id, kept.clone(), self.config.fresh, self.room.results());
@@ -574,12 +471,12 @@
     }
 
     /// Reqs that wait for the answer of `of` get it.
-    fn settle_joined(&mut self, now: Time, of: ReqId, result: Option<Rc<[u8]>>) {
+    fn settle_joined(&mut self, now: Time, of: ReqId, result: Option<Rc<Output>>) {
         let waiting = self.reqs.iter().filter(|(_, e)| !e.answered && e.joined == Some(of));
         let waiting: Vec<_> = waiting.map(|(id, e)| (*id, e.stream)).collect();
         for (id, stream) in waiting {
             let (reply, end) = match &result {
-                Some(result) => (Reply::Done(stream, result.to_vec()), RunEnd::Done),
+                Some(result) => (Reply::Done(stream, Output::clone(result)), RunEnd::Done),
                 None => (Reply::Errored(stream), RunEnd::Errored),
             };
             self.answer(now, id, reply);
@@ -594,7 +491,9 @@
             entry.answered = true;
             self.outlets.send(now, entry.conn, &reply);
         }
-        if !entry.running {
+        if entry.running {
+            self.works.unwanted(id);
+        } else {
             self.by_wire.remove(&entry.wire);
             self.reqs.remove(&id);
         }
@@ -605,40 +504,12 @@
     fn gone(&mut self, now: Time, conn: ConnId) {
         let open = self.reqs.iter().filter(|(_, e)| e.conn == conn && !e.answered && e.key.is_none());
         for id in open.map(|(id, _)| *id).collect::<Vec<_>>() {
-            if let Some(entry) = self.reqs.get_mut(&id) {
-                entry.call = None;
-                self.answer(now, id, Reply::Errored(Stream(0)));
-                let results = self.decider.caller_gone(now, id);
-                self.carry_all(now, results);
-            }
+            self.answer(now, id, Reply::Errored(Stream(0)));
+            let results = self.decider.caller_gone(now, id);
+            self.carry_all(now, results);
         }
     }
 
-    fn called(&mut self, now: Time, id: ReqId, no: CallNo, result: Result<Vec<u8>, CallError>) {
-        let Some(entry) = self.reqs.get_mut(&id) else { return };
-        if entry.call.take_if(|(of, _)| *of == no).is_none() {
-            return;
-        }
-        let end = match result {
-            Ok(reply) => {
-                let feed = Command::Feed(entry.wire, reply);
-                (entry.need, entry.told) = (None, Some((now, feed.clone())));
-                self.engine.send(feed);
-                CallEnd::Done
-            }
-            Err(error) => {
-                tracing::debug!(?error, id = ?entry.wire, "a call failed");
-                match error {
-                    CallError::NotBegun(_) => self.tally.calls_not_begun += 1,
-                    CallError::MaybeBegun(_) | CallError::Ended(_) => self.tally.calls_failed += 1,
-                }
-                error.end()
-            }
-        };
-        let results = self.decider.call_ended(now, id, end);
-        self.carry_all(now, results);
-    }
-
     fn carry_all(&mut self, now: Time, results: Results) {
         self.carry(now, results);
         while let Some((id, end)) = self.joined.pop_front() {
@@ -650,14 +521,12 @@
     /// Carries results out, in the order in which they stand.
     fn carry(&mut self, now: Time, results: Results) {
         for id in results.stop {
-            if let Some(entry) = self.reqs.get(&id).filter(|e| e.running) {
-                self.engine.send(Command::Halt(entry.wire));
+            if self.reqs.get(&id).is_some_and(|e| e.running) {
+                self.works.stop(id);
             }
         }
         for id in results.fail {
-            let Some(entry) = self.reqs.get_mut(&id) else { continue };
-            // A call in hand is given up with its req.
-            entry.call = None;
+            let Some(entry) = self.reqs.get(&id) else { continue };
             let (stream, running) = (entry.stream, entry.running);
             self.tally.errored += 1;
             self.answer(now, id, Reply::Errored(stream));
@@ -681,24 +550,26 @@
         for id in results.start {
             let Some(entry) = self.reqs.get_mut(&id) else { continue };
             entry.running = true;
-            let command = self.run_command(&self.reqs[&id]);
-            self.engine.send(command);
+            let (target, timeout) = self.config.times[entry.new.handler.0];
+            let job = Job {
+                wire: entry.wire,
+                handler: entry.new.handler,
+                body: entry.body.clone(),
+                target: entry.arrived + target,
+                due: entry.arrived + timeout,
+            };
+            self.works.start(id, &job);
         }
         for id in results.join {
             self.join(now, id);
         }
         for (id, cap) in results.call {
-            self.call(id, cap);
+            self.works.engine.call(id, cap);
         }
         for id in results.skip {
-            let Some(entry) = self.reqs.get_mut(&id) else { continue };
-            if let Some((need, _)) = entry.need.take() {
-                let skip = Command::Skip(entry.wire, need);
-                entry.told = Some((now, skip.clone()));
-                self.engine.send(skip);
-            }
+            self.works.engine.skip(now, id);
         }
-        if let Some(good) = results.health.filter(|_| self.engine.greeted) {
+        if let Some(good) = results.health.filter(|_| self.works.engine.greeted()) {
             if self.health.set(good) {
                 let _ = self.news.try_send(News::Health(good));
             }
@@ -731,18 +602,4 @@
         };
         self.settle_joined(now, of, known);
     }
-
-    fn call(&mut self, id: ReqId, cap: Time) {
-        let Some(entry) = self.reqs.get_mut(&id) else { return };
-        let Some((_, body)) = &entry.need else { return };
-        self.calls += 1;
-        let no = CallNo(self.calls);
-        let (records, inputs) = (self.config.records, self.inputs.clone());
-        let (of, body) = (entry.wire, body.clone());
-        let task = self.executor.spawn(async move {
-            let result = call::call(records, of, body, cap).await;
-            let _ = inputs.send(Input::Called(id, no, result)).await;
-        });
-        entry.call = Some((no, task));
-    }
 }
--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -1,6 +1,6 @@
 //! Signals, and leaving: the notice, and when to stop listening and to end.
 use crate::config::Config;
-use crate::desk::Input;
+use crate::input::Input;
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use cottondyke_decide::types::Time;
--- a/crates/server/src/health.rs
+++ b/crates/server/src/health.rs
@@ -1,5 +1,5 @@
 //! Health checks: answered from what the decider set, or by work that the engine does.
-use crate::desk::ConnId;
+use crate::input::ConnId;
 use crate::wire::engine::Tag;
 use crate::wire::sidecar::Stream;
 use cottondyke_decide::types::Time;
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -1,6 +1,6 @@
 //! One sidecar's connection: reads frames and hands them to the desk, writes what the desk answers.
 use crate::answer::{self, Parcel};
-use crate::desk::{ConnId, Input};
+use crate::input::{ConnId, Input};
 use crate::room::Room;
 use crate::wire::sidecar::{Decoder, Message, Names};
 use crate::wire::Malformed;
--- a/crates/server/src/keys.rs
+++ b/crates/server/src/keys.rs
@@ -1,4 +1,5 @@
 //! Which reqs repeat which: the table behind kept keys and shared answers. The decider says what stays.
+use crate::work::Output;
 use cottondyke_decide::types::{HandlerId, ReqId, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     Open,
-    Done(Option<Rc<[u8]>>),
+    Done(Option<Rc<Output>>),
     Failed,
 }
 
@@ -44,7 +45,7 @@
         }
         self.by_key.insert(key.clone(), id);
         if let Outcome::Done(Some(result)) = &outcome {
-            self.bytes += result.len();
+            self.bytes += result.size();
         }
         self.entries.insert(id, Entry { key, until, outcome });
         if let Some(until) = until {
@@ -61,7 +62,7 @@
     fn drop_entry(&mut self, id: ReqId) -> Option<Entry> {
         let entry = self.entries.remove(&id)?;
         if let Outcome::Done(Some(result)) = &entry.outcome {
-            self.bytes -= result.len();
+            self.bytes -= result.size();
         }
         if let Some(until) = entry.until {
             self.ends.remove(&(until, id));
@@ -71,13 +72,13 @@
 
     /// Notes how a kept req ended; an open read's entry stays for `fresh` if it went well, else it goes. Results
     /// take `most` bytes; past that the oldest go, and their repeats are errored.
-    pub fn ended(&mut self, now: Time, id: ReqId, result: Option<Rc<[u8]>>, fresh: Time, most: usize) {
+    pub fn ended(&mut self, now: Time, id: ReqId, result: Option<Rc<Output>>, fresh: Time, most: usize) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let read = entry.until.is_none();
         entry.outcome = result.map_or(Outcome::Failed, |result| Outcome::Done(Some(result)));
         let went_well = matches!(entry.outcome, Outcome::Done(_));
         if let Outcome::Done(Some(result)) = &entry.outcome {
-            self.bytes += result.len();
+            self.bytes += result.size();
         }
         if read {
             if went_well && fresh > Time(0) {
@@ -91,7 +92,7 @@
         while self.bytes > most {
             let Some((_, entry)) = oldest.next() else { break };
             if let Outcome::Done(result) = &mut entry.outcome {
-                self.bytes -= result.take().map_or(0, |r| r.len());
+                self.bytes -= result.take().map_or(0, |r| r.size());
             }
         }
     }
--- a/crates/server/src/run.rs
+++ b/crates/server/src/run.rs
@@ -1,5 +1,5 @@
 //! The link to the engine: kept open, taken up again where it broke.
-use crate::desk::Input;
+use crate::input::Input;
 use crate::wire::engine::{Command, Decoder, Notice, NoticeNo, Tag};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together and runs them on one thread.
 use crate::config::Config;
-use crate::desk::{Desk, Lines, MOST_INPUTS};
+use crate::desk::Desk;
+use crate::input::{Lines, MOST_INPUTS};
 use crate::intake::Front;
 use crate::room::Room;
 use crate::time::Clock;
--- a/crates/server/src/wire/sidecar.rs
+++ b/crates/server/src/wire/sidecar.rs
@@ -1,5 +1,6 @@
 //! Frames between sidecars and the server.
 use super::{Malformed, Pending, WireId};
+use crate::work::Output;
 use cottondyke_decide::types::{CustomerId, HandlerId};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -207,7 +208,7 @@
 /// What the server says to a sidecar.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Reply {
-    Done(Stream, Vec<u8>),
+    Done(Stream, Output),
     Shed {
         stream: Stream,
         after_ms: f64,
@@ -231,14 +232,17 @@
 
     /// Appends the frame; `say` is the free value from this answer on.
     pub fn encode(&self, say: Option<f64>, to: &mut Vec<u8>) {
-        let shed_only = |fields: &mut Vec<(&'static str, String)>| {
+        let own = |fields: &mut Vec<(&'static str, String)>| {
+            if let Reply::Done(_, Output { partial: Some(names), .. }) = self {
+                fields.push(("partial", names.to_string()));
+            }
             if let Reply::Shed { after_ms, last, .. } = self {
                 fields.extend((*after_ms > 0.0).then(|| ("after", after_ms.to_string())));
                 fields.extend(last.then(|| ("last", "1".to_string())));
             }
         };
         let (kind, stream, code, body): (u8, u32, Option<u8>, &[u8]) = match self {
-            Reply::Done(stream, body) => (ANSWER, stream.0, Some(SERVED), body),
+            Reply::Done(stream, output) => (ANSWER, stream.0, Some(SERVED), &output.body),
             Reply::Shed { stream, .. } => (ANSWER, stream.0, Some(REFUSED), &[]),
             Reply::Errored(stream) => (ANSWER, stream.0, Some(FAILED), &[]),
             Reply::Checked { stream, good } => (CHECKED, stream.0, Some(if *good { GOOD } else { BAD }), &[]),
@@ -252,7 +256,7 @@
         if let Some(code) = code {
             let mut fields: Vec<(&'static str, String)> =
                 say.map(|value| ("say", value.to_string())).into_iter().collect();
-            shed_only(&mut fields);
+            own(&mut fields);
             to.push(code);
             to.push(fields.len() as u8);
             for (name, value) in fields {
--- /dev/null
+++ b/crates/server/src/work/engine.rs
@@ -0,0 +1,275 @@
+//! Runs on the engine: which there are, what each waits for, and what a broken link may have lost. The calls that
+//! runs ask for are made here once the decider lets them out.
+use super::{Event, Job, Output};
+use crate::call::{self, CallError};
+use crate::input::{CallNo, Input};
+use crate::run::Engine;
+use crate::wire::engine::{Command, Notice, NoticeNo, Tag};
+use crate::wire::WireId;
+use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
+use cottondyke_decide::types::{ReqId, RunEnd, Time, SECOND};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What was written to the engine this long before its link broke may not have been read.
+const MAYBE_LOST: Time = SECOND;
+
+struct Run {
+    wire: WireId,
+    class: Rc<str>,
+    body: Rc<[u8]>,
+    replayable: bool,
+    /// Whether anybody still waits for it.
+    wanted: bool,
+    /// Whether the engine has shown that it runs.
+    begun: bool,
+    /// The call that the run waits for.
+    need: Option<(NoticeNo, Vec<u8>)>,
+    /// When the run was told to go on from its call, and how, until the engine shows that it has.
+    told: Option<(Time, Command)>,
+    call: Option<(CallNo, Task<()>)>,
+}
+
+impl Run {
+    fn command(&self) -> Command {
+        Command::Run { id: self.wire, class: self.class.clone(), body: self.body.clone() }
+    }
+}
+
+/// Calls of the last second that brought nothing, and commands that were refused.
+#[derive(Default)]
+pub struct Tally {
+    pub not_begun: u64,
+    pub failed: u64,
+    pub refused: u64,
+}
+
+pub struct Runs {
+    link: Engine,
+    runs: BTreeMap<ReqId, Run>,
+    by_wire: BTreeMap<WireId, ReqId>,
+    /// The gauge of the cores among those that the engine reads out.
+    busy: Option<usize>,
+    /// Gauges that the desk asked for.
+    asked: Option<Tag>,
+    /// When the link last broke.
+    broke: Time,
+    records: SocketAddr,
+    calls: u64,
+    executor: Rc<LocalExecutor<'static>>,
+    inputs: Sender<Input>,
+    pub tally: Tally,
+}
+
+impl Runs {
+    pub fn new(
+        now: Time, records: SocketAddr, busy: Option<usize>, executor: Rc<LocalExecutor<'static>>,
+        inputs: Sender<Input>,
+    ) -> Self {
+        Runs {
+            link: Engine::default(),
+            runs: BTreeMap::new(),
+            by_wire: BTreeMap::new(),
+            busy,
+            asked: None,
+            broke: now,
+            records,
+            calls: 0,
+            executor,
+            inputs,
+            tally: Tally::default(),
+        }
+    }
+
+    pub fn start(&mut self, id: ReqId, job: &Job, class: Rc<str>, replayable: bool) {
+        let run = Run {
+            wire: job.wire,
+            class,
+            body: job.body.clone(),
+            replayable,
+            wanted: true,
+            begun: false,
+            need: None,
+            told: None,
+            call: None,
+        };
+        self.link.send(run.command());
+        self.by_wire.insert(run.wire, id);
+        self.runs.insert(id, run);
+    }
+
+    /// Asks for the run's end, which comes as an event once the engine has carried it out.
+    pub fn stop(&mut self, id: ReqId) {
+        if let Some(run) = self.runs.get(&id) {
+            self.link.send(Command::Halt(run.wire));
+        }
+    }
+
+    /// Nobody waits for the run any longer: its call in hand is given up.
+    pub fn unwanted(&mut self, id: ReqId) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            (run.wanted, run.call) = (false, None);
+        }
+    }
+
+    /// The run is over, or taken to be.
+    pub fn forget(&mut self, id: ReqId) {
+        if let Some(run) = self.runs.remove(&id) {
+            self.by_wire.remove(&run.wire);
+        }
+    }
+
+    /// Before the first hello nothing has run: all runs are forgotten, to start anew.
+    pub fn forget_all(&mut self) {
+        self.link.forget();
+        self.runs.clear();
+        self.by_wire.clear();
+    }
+
+    pub fn up(&mut self, now: Time, outlet: Sender<Command>) {
+        self.link.up(now, outlet);
+    }
+
+    pub fn down(&mut self, now: Time, unsent: Vec<Command>) {
+        self.broke = now;
+        self.link.down(unsent);
+    }
+
+    pub fn greeted(&self) -> bool {
+        self.link.greeted
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.link.is_up()
+    }
+
+    pub fn moved(&mut self, records: SocketAddr) {
+        self.records = records;
+    }
+
+    /// Asks the engine to test itself; none while there is no link.
+    pub fn test(&mut self) -> Option<Tag> {
+        self.link.ask(Command::Test)
+    }
+
+    /// Asks for gauges; false where none will come.
+    pub fn ask_gauges(&mut self) -> bool {
+        self.asked = self.link.ask_gauges();
+        self.asked.is_some()
+    }
+
+    /// They are waited for no longer.
+    pub fn no_gauges(&mut self) {
+        self.asked = None;
+    }
+
+    pub fn chores(&mut self, now: Time) {
+        if self.link.overdue(now) {
+            self.link.resume(Vec::new());
+        }
+    }
+
+    fn run_of(&mut self, wire: WireId) -> Option<(ReqId, &mut Run)> {
+        let id = *self.by_wire.get(&wire)?;
+        self.runs.get_mut(&id).map(|run| (id, run))
+    }
+
+    pub fn noticed(&mut self, notice: Notice) -> Vec<Event> {
+        match notice {
+            Notice::Done { id, end, result, .. } => {
+                let id = self.by_wire.get(&id);
+                id.map(|id| Event::Ended(*id, end, Output::whole(result))).into_iter().collect()
+            }
+            Notice::Need { no, id, body } => {
+                let Some((id, run)) = self.run_of(id) else { return Vec::new() };
+                (run.need, run.told, run.begun) = (Some((no, body)), None, true);
+                vec![Event::Lives(id), Event::CallWanted(id)]
+            }
+            Notice::Stats { tag, gauges } => {
+                self.link.gauges_came(tag);
+                if self.link.passed(tag) {
+                    let again = self.commands_to_repeat();
+                    self.link.resume(again);
+                } else if self.asked.take_if(|asked| *asked == tag).is_some() {
+                    let busy = self.busy.and_then(|place| gauges.get(place).copied());
+                    return vec![Event::Gauges(busy.filter(|b| b.is_finite()))];
+                }
+                Vec::new()
+            }
+            Notice::Tested { tag, good } => vec![Event::Tested(tag, good)],
+            Notice::Refused { command, id } => {
+                let Some((id, run)) = id.and_then(|id| self.run_of(id)) else { return Vec::new() };
+                tracing::debug!(command, id = ?run.wire, "the engine refused a command");
+                // Any other says that this command was one too many, not that there is no run.
+                let none = command == "RUN" && !run.begun || command == "HALT" && !run.wanted;
+                self.tally.refused += 1;
+                let over = none.then(|| Event::Ended(id, RunEnd::Void, Output::default()));
+                over.into_iter().collect()
+            }
+            Notice::Hello { .. } | Notice::Remark(_) | Notice::Unknown(_) => Vec::new(),
+        }
+    }
+
+    /// What may have been lost with the link though it was written whole: the commands of replayable runs that
+    /// showed no sign of life, and for runs that were told to go on shortly before, that.
+    fn commands_to_repeat(&self) -> Vec<Command> {
+        let lost = |run: &Run| {
+            let told = run.told.as_ref().filter(|(at, _)| self.broke - *at <= MAYBE_LOST);
+            let again = (!run.begun && run.replayable).then(|| run.command());
+            told.map(|(_, command)| command.clone()).or(again).filter(|command| !self.link.waits(command))
+        };
+        self.runs.values().filter(|run| run.wanted).filter_map(lost).collect()
+    }
+
+    /// Makes the call that the run waits for, for `cap` at the most.
+    pub fn call(&mut self, id: ReqId, cap: Time) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        let Some((_, body)) = &run.need else { return };
+        self.calls += 1;
+        let no = CallNo(self.calls);
+        let (records, inputs) = (self.records, self.inputs.clone());
+        let (of, body) = (run.wire, body.clone());
+        let task = self.executor.spawn(async move {
+            let result = call::call(records, of, body, cap).await;
+            let _ = inputs.send(Input::Called(id, no, result)).await;
+        });
+        run.call = Some((no, task));
+    }
+
+    pub fn called(
+        &mut self, now: Time, id: ReqId, no: CallNo, result: Result<Vec<u8>, CallError>,
+    ) -> Option<Event> {
+        let run = self.runs.get_mut(&id)?;
+        let (_, call) = run.call.take_if(|(of, _)| *of == no)?;
+        drop(call);
+        let end = match result {
+            Ok(reply) => {
+                let feed = Command::Feed(run.wire, reply);
+                (run.need, run.told) = (None, Some((now, feed.clone())));
+                self.link.send(feed);
+                cottondyke_decide::types::CallEnd::Done
+            }
+            Err(error) => {
+                tracing::debug!(?error, id = ?run.wire, "a call failed");
+                match error {
+                    CallError::NotBegun(_) => self.tally.not_begun += 1,
+                    CallError::MaybeBegun(_) | CallError::Ended(_) => self.tally.failed += 1,
+                }
+                error.end()
+            }
+        };
+        Some(Event::CallEnded(id, end))
+    }
+
+    /// The run goes on without its call.
+    pub fn skip(&mut self, now: Time, id: ReqId) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        if let Some((need, _)) = run.need.take() {
+            let skip = Command::Skip(run.wire, need);
+            run.told = Some((now, skip.clone()));
+            self.link.send(skip);
+        }
+    }
+}
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -4,15 +4,17 @@
 mod peers;
 
 use cottondyke::answer::Outlets;
-use cottondyke::desk::ConnId;
+
 use cottondyke::drain::{stage, Stage};
 use cottondyke::health::Health;
+use cottondyke::input::ConnId;
 use cottondyke::keys::{Keys, Outcome};
 use cottondyke::run::Engine;
 use cottondyke::wire::engine::{self, Command, Notice, Tag};
 use cottondyke::wire::http;
 use cottondyke::wire::sidecar::{self, Message, Names, Reply, Stream};
 use cottondyke::wire::WireId;
+use cottondyke::work::Output;
 use cottondyke_decide::types::{CustomerId, HandlerId, ReqId, RunEnd, Time};
 use peers::{frame, payload};
 use quickcheck::{quickcheck, TestResult};
@@ -223,7 +225,7 @@
     /// What the server says can be read back by the sidecar's rules, whatever the body.
     fn answers_are_whole_frames(stream: u32, body: Vec<u8>, say: Option<u16>) -> bool {
         let mut bytes = Vec::new();
-        Reply::Done(Stream(stream), body.clone()).encode(say.map(f64::from), &mut bytes);
+        Reply::Done(Stream(stream), Output::whole(body.clone())).encode(say.map(f64::from), &mut bytes);
         let fields = say.map(|s| ("say", s.to_string()));
         let fields: Vec<_> = fields.iter().map(|(n, v)| (*n, v.as_str())).collect();
         bytes == frame(2, stream, &[vec![1], payload(&fields, &body)].concat())
@@ -246,7 +248,7 @@
 #[test]
 fn kept_results_are_bounded() {
     let mut keys = Keys::default();
-    let result: Rc<[u8]> = vec![0; 1 << 20].into();
+    let result = Rc::new(Output::whole(vec![0; 1 << 20]));
     for n in 0..40 {
         keys.keep(ReqId(n), (HandlerId(0), n.to_string().into()), Some(Time(1_000)));
         keys.ended(Time(0), ReqId(n), Some(result.clone()), Time(0), 16 << 20);
