Gates, breakers, adaptive limits and fall-backs of dependencies, as a package without I/O

A page that draws on several services needs a decision for each: how long to wait, how many calls to hold, when to stop asking, what to take instead. crates/depend decides this from method calls with time and seed as arguments.

--- /dev/null
+++ b/crates/depend/src/gate.rs
@@ -0,0 +1,186 @@
+//! What stands between pages and one dependency. Calls in hand, those given up that may go on, and after a start
+//! those that this instance's former life may have left, all count as held; held calls never pass the limit, and
+//! the limit never passes the share.
+use crate::breaker::{Breaker, Pass, Stage};
+use crate::latency::Latency;
+use crate::limit::{Limit, Sign};
+use crate::plan::{Defences, Dependency};
+use crate::retry::RetryBudget;
+use cottondyke_decide::types::{ReqId, Time};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// A call that was not answered in time tells against its dependency only if it had this quantile of the usual
+/// times, or its whole budget.
+const FAIR: f64 = 0.95;
+/// Before anything is learned, the round in which one decrease of the limit counts.
+const FIRST_ROUND: Time = Time(100);
+
+/// Whether a call may be made now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Go {
+        probe: bool,
+    },
+    /// The limit is reached.
+    Full,
+    /// The breaker lets nothing through.
+    Shut,
+}
+
+/// How a call that was in hand ended, as the gate learns of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learnt {
+    Well,
+    Ill,
+    /// It says nothing of the dependency.
+    Nothing,
+}
+
+/// Sums since they were last taken, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sums {
+    pub first: u64,
+    pub hedges: u64,
+    pub repeats: u64,
+    pub well: u64,
+    pub ill: u64,
+    /// Not answered within the time given.
+    pub late: u64,
+    /// Parts that found the limit reached and no room to wait, or the breaker open.
+    pub full: u64,
+    pub shut: u64,
+}
+
+#[derive(Debug)]
+pub struct Gate {
+    pub spec: Rc<Dependency>,
+    pub limit: Limit,
+    pub breaker: Breaker,
+    pub latency: Latency,
+    pub retries: RetryBudget,
+    pub waiting: VecDeque<(ReqId, usize)>,
+    pub sums: Sums,
+    in_hand: usize,
+    lingering: Vec<Time>,
+    /// Calls of a former life of this instance, and when they are over.
+    ghosts: (usize, Time),
+    limited: bool,
+}
+
+impl Gate {
+    /// `restarted`: whether a former life of this instance may have left calls there.
+    pub fn new(now: Time, spec: Rc<Dependency>, defences: Defences, restarted: bool) -> Self {
+        let ghosts = if restarted && defences.limit { (spec.share, now + spec.linger) } else { (0, now) };
+        Gate {
+            limit: Limit::new(spec.floor, spec.share, defences.adapt),
+            breaker: Breaker::new(now, defences.breaker),
+            latency: Latency::new(now),
+            retries: RetryBudget::new(spec.retries),
+            waiting: VecDeque::new(),
+            sums: Sums::default(),
+            in_hand: 0,
+            lingering: Vec::new(),
+            ghosts,
+            limited: defences.limit,
+            spec,
+        }
+    }
+
+    /// The file was read anew; what was learned stays, what is held still counts.
+    pub fn renew(&mut self, spec: Rc<Dependency>, defences: Defences) {
+        self.limit.set(spec.floor, spec.share, defences.adapt);
+        self.breaker.enable(defences.breaker);
+        self.retries.set(spec.retries);
+        self.limited = defences.limit;
+        self.spec = spec;
+    }
+
+    pub fn held(&self, now: Time) -> usize {
+        let lingering = self.lingering.iter().filter(|end| **end > now).count();
+        let ghosts = if self.ghosts.1 > now { self.ghosts.0 } else { 0 };
+        self.in_hand + lingering + ghosts
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.in_hand
+    }
+
+    /// When the next held call is over by itself.
+    pub fn frees(&self, now: Time) -> Option<Time> {
+        let ends = self.lingering.iter().copied().chain([self.ghosts.1]);
+        ends.filter(|end| *end > now).min()
+    }
+
+    pub fn verdict(&self, now: Time) -> Verdict {
+        let probe = match self.breaker.pass(now) {
+            Pass::No => return Verdict::Shut,
+            pass => pass == Pass::Probe,
+        };
+        if self.limited && self.held(now) + 1 > self.limit.calls() {
+            return Verdict::Full;
+        }
+        Verdict::Go { probe }
+    }
+
+    /// Whether an extra call may go: nobody waits, the breaker is closed, and the retry budget pays.
+    pub fn extra(&mut self, now: Time) -> bool {
+        self.waiting.is_empty() && self.verdict(now) == (Verdict::Go { probe: false }) && self.retries.take()
+    }
+
+    /// A call goes out.
+    pub fn sent(&mut self, probe: bool) {
+        self.in_hand += 1;
+        if probe {
+            self.breaker.probing();
+        }
+    }
+
+    /// A call is in hand no more; where it `goes_on`, it is held for as long as it may.
+    pub fn over(&mut self, now: Time, goes_on: bool) {
+        self.in_hand -= 1;
+        self.lingering.retain(|end| *end > now);
+        if goes_on {
+            self.lingering.push(now + self.spec.linger);
+        }
+    }
+
+    /// Learns from a call; true if the breaker changed its stage. `draw` from 0 to 1, evenly.
+    pub fn learn(&mut self, now: Time, probe: bool, learnt: Learnt, draw: f64) -> bool {
+        let before = std::mem::discriminant(&self.breaker.stage());
+        let round = self.latency.usual().unwrap_or(FIRST_ROUND);
+        let held = self.held(now) + 1;
+        match learnt {
+            Learnt::Well => {
+                self.sums.well += 1;
+                self.limit.ended(now, Sign::Well, self.latency.gradient(), held, round);
+                if self.breaker.ended(now, probe, true, draw) {
+                    self.limit.restart();
+                }
+            }
+            Learnt::Ill => {
+                self.sums.ill += 1;
+                self.limit.ended(now, Sign::Overload, 1.0, held, round);
+                self.breaker.ended(now, probe, false, draw);
+            }
+            Learnt::Nothing => self.breaker.no_word(probe),
+        }
+        before != std::mem::discriminant(&self.breaker.stage())
+    }
+
+    /// Whether a call that got this long without an answer had a fair chance.
+    pub fn fair(&mut self, given: Time) -> bool {
+        let usual = self.latency.quantile(FAIR);
+        given >= usual.unwrap_or(self.spec.budget).min(self.spec.budget)
+    }
+
+    /// After how long a second call is made, where it is.
+    pub fn hedge_after(&mut self) -> Option<Time> {
+        let quantile = self.spec.hedge?;
+        self.latency.quantile(quantile)
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.breaker.stage()
+    }
+}
--- /dev/null
+++ b/crates/depend/src/latency.rs
@@ -0,0 +1,84 @@
+//! What was learned of a dependency's latency: quantiles over the last one to two spans, and how the recent mean
+//! stands to the usual one.
+use cottondyke_decide::types::Time;
+use hdrhistogram::Histogram;
+
+/// Half of the time over which quantiles look back.
+const SPAN: Time = Time(100_000);
+/// Calls that must have ended before a quantile is believed.
+const ENOUGH: u64 = 30;
+/// The longest time that is told apart, in tenths of a millisecond.
+const LONGEST: u64 = 600_000;
+/// A quantile is reckoned anew after this many further calls.
+const STALE: u64 = 16;
+/// Weights of the newest in the recent mean, and in the usual one as it falls and as it rises.
+const RECENT: f64 = 0.1;
+const FALLS: f64 = 0.05;
+const RISES: f64 = 0.002;
+
+#[derive(Clone, Debug)]
+pub struct Latency {
+    newer: Histogram<u32>,
+    older: Histogram<u32>,
+    turned: Time,
+    cached: Option<(u64, f64, Time)>,
+    recent: f64,
+    usual: f64,
+}
+
+impl Latency {
+    pub fn new(now: Time) -> Self {
+        // Two significant digits suffice, and the bounds are constants that fit.
+        let new = || Histogram::new_with_bounds(1, LONGEST, 2).expect("constant bounds");
+        Latency { newer: new(), older: new(), turned: now, cached: None, recent: 0.0, usual: 0.0 }
+    }
+
+    /// Learns of a call that ended well, late ones among them.
+    pub fn learn(&mut self, now: Time, time: Time) {
+        if now - self.turned >= SPAN {
+            std::mem::swap(&mut self.newer, &mut self.older);
+            self.newer.reset();
+            (self.turned, self.cached) = (now, None);
+        }
+        self.newer.saturating_record(time.0.clamp(1, LONGEST as i64) as u64);
+        let t = time.num().max(1.0);
+        if self.usual == 0.0 {
+            (self.recent, self.usual) = (t, t);
+        }
+        self.recent += (t - self.recent) * RECENT;
+        let weight = if t < self.usual { FALLS } else { RISES };
+        self.usual += (t - self.usual) * weight;
+    }
+
+    /// The time within which this part of the calls ended, once enough have.
+    pub fn quantile(&mut self, part: f64) -> Option<Time> {
+        let count = self.newer.len() + self.older.len();
+        if count < ENOUGH {
+            return None;
+        }
+        if let Some((at, of, time)) = self.cached {
+            if of == part && count - at.min(count) < STALE {
+                return Some(time);
+            }
+        }
+        let mut all = self.older.clone();
+        let _ = all.add(&self.newer);
+        let time = Time(all.value_at_quantile(part.clamp(0.0, 1.0)) as i64);
+        self.cached = Some((count, part, time));
+        Some(time)
+    }
+
+    /// The usual time of a call; none before the first.
+    pub fn usual(&self) -> Option<Time> {
+        (self.usual > 0.0).then_some(Time(self.usual as i64))
+    }
+
+    /// How many times longer than usual calls take of late.
+    pub fn gradient(&self) -> f64 {
+        if self.usual > 0.0 {
+            self.recent / self.usual
+        } else {
+            1.0
+        }
+    }
+}
--- /dev/null
+++ b/crates/depend/src/limit.rs
@@ -0,0 +1,94 @@
+//! The adaptive concurrency limit of one dependency: additive increase while it is used and calls end well,
+//! multiplicative decrease on signs of overload, a slighter one while the latency gradient shows a queue.
+use cottondyke_decide::types::Time;
+
+/// Parts of the limit that stay after a sign of overload, and after a call that shows a queue.
+const OVERLOAD: f64 = 0.7;
+const QUEUE: f64 = 0.95;
+/// From this many times the usual latency on a queue is taken to stand at the dependency.
+const GRADIENT: f64 = 2.0;
+/// The limit grows only where this part of it is in use: unused room proves nothing.
+const USED: f64 = 0.5;
+
+/// What a call's end says of the dependency's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    Well,
+    Overload,
+}
+
+#[derive(Clone, Debug)]
+pub struct Limit {
+    floor: f64,
+    most: f64,
+    now: f64,
+    /// Up to here it grows by one a call, past it by one a round.
+    slow_start: f64,
+    /// One decrease a round trip: calls sent before it tell of the same overload.
+    rests: Time,
+    adapts: bool,
+}
+
+impl Limit {
+    /// Between `floor` and `most`, where it starts; fixed there unless it `adapts`.
+    pub fn new(floor: usize, most: usize, adapts: bool) -> Self {
+        let most = most.max(1) as f64;
+        Limit {
+            floor: (floor as f64).clamp(1.0, most),
+            most,
+            now: most,
+            slow_start: most,
+            rests: Time(0),
+            adapts,
+        }
+    }
+
+    pub fn set(&mut self, floor: usize, most: usize, adapts: bool) {
+        self.most = most.max(1) as f64;
+        self.floor = (floor as f64).clamp(1.0, self.most);
+        self.now = if adapts { self.now.clamp(self.floor, self.most) } else { self.most };
+        self.adapts = adapts;
+    }
+
+    /// Calls that may be held.
+    pub fn calls(&self) -> usize {
+        self.now as usize
+    }
+
+    pub fn at_floor(&self) -> bool {
+        self.now <= self.floor
+    }
+
+    /// `held` calls while it was in hand; `round`: the usual time of a call.
+    pub fn ended(&mut self, now: Time, sign: Sign, gradient: f64, held: usize, round: Time) {
+        if !self.adapts {
+            return;
+        }
+        let falls = match sign {
+            Sign::Overload => Some(OVERLOAD),
+            Sign::Well if gradient > GRADIENT => Some(QUEUE),
+            Sign::Well => None,
+        };
+        match falls {
+            Some(part) if now >= self.rests => {
+                self.now = (self.now * part).max(self.floor);
+                self.slow_start = self.now;
+                self.rests = now + round;
+            }
+            Some(_) => {}
+            None if (held as f64) < self.now * USED => {}
+            None => {
+                let step = if self.now < self.slow_start { 1.0 } else { 1.0 / self.now };
+                self.now = (self.now + step).min(self.most);
+            }
+        }
+    }
+
+    /// After the breaker closed: from the floor, and quickly up to half of what it was.
+    pub fn restart(&mut self) {
+        if self.adapts {
+            self.slow_start = (self.now / 2.0).max(self.most / 2.0);
+            self.now = self.floor;
+        }
+    }
+}
--- /dev/null
+++ b/crates/depend/src/pages.rs
@@ -0,0 +1,749 @@
+//! Composes pages: one run for each started req, with a step in hand for each of its parts. Every call that goes
+//! out ends once, by `ended` or by being given up without listening; every run ends once, by `Action::Ended`.
+use crate::breaker::Stage;
+use crate::gate::{Gate, Learnt, Sums, Verdict};
+use crate::kept::{Kept, Key};
+use crate::plan::{Defences, Dependency, Fallback, Part, Plan};
+use cottondyke_decide::types::{CustomerId, ReqId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Kept back of the time left, for composing and sending the answer.
+const RESERVE: Time = Time(100);
+/// Part of its budget for which a call that got no answer in time is still listened to.
+const LISTEN: f64 = 0.5;
+/// Calls that one step makes, the first among them.
+const TRIES: u32 = 3;
+/// Kept answers and other bodies are handed on as they are; this bounds what one part may bring, in bytes.
+pub const MOST_BODY: usize = 262_144;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A req that starts as a page.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub run: ReqId,
+    /// The page's place in the plan.
+    pub page: usize,
+    pub body: Rc<[u8]>,
+    pub customer: Option<CustomerId>,
+    pub target: Time,
+    pub due: Time,
+    /// Whether its calls may run again though they may have run.
+    pub may_repeat: bool,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Good(Rc<[u8]>),
+    /// Ended with an error or a reply of no use; it may have had its effect and goes on no longer.
+    Failed,
+    /// The dependency does not want this request: it says nothing of its state.
+    Unfit,
+    /// Known not to have run.
+    Refused,
+    /// It may have run and may go on.
+    Lost,
+    /// A connection that was used before broke before any reply.
+    Stale,
+}
+
+/// What a part of an answer is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum State {
+    Whole,
+    /// An earlier answer, and its age.
+    Kept(Time),
+    /// From the dependency of this name.
+    Other(Rc<str>),
+    Fixed,
+    Missing,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartEnd {
+    pub name: Rc<str>,
+    pub state: State,
+    pub body: Option<Rc<[u8]>>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Every part that is required is there.
+    Parts(Vec<PartEnd>),
+    /// A part that is required is missing.
+    Errored,
+    Stopped,
+}
+
+/// What to do after an input, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make a call with the body of the run's req. Unless `reuse`, on a connection of its own.
+    Call {
+        call: CallId,
+        run: ReqId,
+        to: Rc<Dependency>,
+        body: Rc<[u8]>,
+        within: Time,
+        reuse: bool,
+    },
+    /// Stop waiting for a call. Listen to it for so long, and tell its end; if that is no time, close its
+    /// connection and tell nothing.
+    GiveUp {
+        call: CallId,
+        listen: Time,
+    },
+    Ended {
+        run: ReqId,
+        answer: Answer,
+    },
+    Changed {
+        dependency: Rc<str>,
+        stage: Stage,
+        limit: usize,
+    },
+}
+
+type GateId = usize;
+
+#[derive(Debug)]
+enum Phase {
+    Waiting,
+    Calling,
+    Settled(State, Option<Rc<[u8]>>),
+}
+
+#[derive(Debug)]
+struct Step {
+    /// 0 for the part's own dependency, then one for each fall-back.
+    number: usize,
+    gate: GateId,
+    until: Time,
+    tries: u32,
+    calls: Vec<CallId>,
+    phase: Phase,
+}
+
+#[derive(Debug)]
+struct Run {
+    start: Start,
+    force: Rc<Force>,
+    steps: Vec<Step>,
+}
+
+#[derive(Debug)]
+struct Call {
+    run: ReqId,
+    part: usize,
+    gate: GateId,
+    since: Time,
+    within: Time,
+    probe: bool,
+    /// Its part waits no longer, and what it can teach about being late was learned.
+    left: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// The end of a part's step.
+    Step(ReqId, usize, usize),
+    /// A second call for one that is still out.
+    Hedge(CallId),
+    /// A held call is over by itself.
+    Frees(GateId),
+}
+
+/// A plan, and the gates of its dependencies.
+#[derive(Debug)]
+struct Force {
+    plan: Plan,
+    gates: Vec<GateId>,
+}
+
+#[derive(Debug)]
+pub struct Pages {
+    force: Rc<Force>,
+    gates: BTreeMap<GateId, Gate>,
+    next_gate: GateId,
+    runs: BTreeMap<ReqId, Run>,
+    calls: BTreeMap<CallId, Call>,
+    next_call: u64,
+    timers: BTreeSet<(Time, Timer)>,
+    kept: Kept,
+    /// After the notice to leave: when all must be answered.
+    leave: Time,
+    random: fastrand::Rng,
+}
+
+impl Pages {
+    /// `restarted`: whether a former life of this instance may have left calls at the dependencies.
+    pub fn new(now: Time, plan: Plan, seed: u64, restarted: bool) -> Self {
+        let empty = Plan {
+            dependencies: Vec::new(),
+            pages: Vec::new(),
+            kept_bytes: 0,
+            defences: Defences::default(),
+        };
+        let mut pages = Pages {
+            force: Rc::new(Force { plan: empty, gates: Vec::new() }),
+            gates: BTreeMap::new(),
+            next_gate: 0,
+            runs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            timers: BTreeSet::new(),
+            kept: Kept::default(),
+            leave: Time::MAX,
+            random: fastrand::Rng::with_seed(seed),
+        };
+        pages.take(now, plan, restarted);
+        pages
+    }
+
+    /// Another plan is in force for what starts from now on; runs end under the one they began with. What was
+    /// learned of a dependency, and what is held there, goes with its name.
+    pub fn install(&mut self, now: Time, plan: Plan) -> Vec<Action> {
+        self.take(now, plan, false);
+        let mut out = Vec::new();
+        for gate in self.force.clone().gates.iter() {
+            self.drain(now, *gate, &mut out);
+        }
+        out
+    }
+
+    fn take(&mut self, now: Time, plan: Plan, restarted: bool) {
+        let gates = plan.dependencies.iter().map(|spec| {
+            let known = self.gates.iter_mut().find(|(_, g)| g.spec.name == spec.name);
+            if let Some((id, gate)) = known {
+                gate.renew(spec.clone(), plan.defences);
+                return *id;
+            }
+            let id = self.next_gate;
+            self.next_gate += 1;
+            self.gates.insert(id, Gate::new(now, spec.clone(), plan.defences, restarted));
+            if let Some(at) = self.gates[&id].frees(now) {
+                self.timers.insert((at, Timer::Frees(id)));
+            }
+            id
+        });
+        let gates = gates.collect();
+        self.kept.bound(if plan.defences.kept { plan.kept_bytes } else { 0 });
+        self.force = Rc::new(Force { plan, gates });
+        let in_use = |id: &GateId| {
+            self.force.gates.contains(id) || self.runs.values().any(|run| run.force.gates.contains(id))
+        };
+        self.gates.retain(|id, gate| in_use(id) || gate.held(now) > 0);
+    }
+
+    pub fn start(&mut self, now: Time, start: Start) -> Vec<Action> {
+        let mut out = Vec::new();
+        let (id, force) = (start.run, self.force.clone());
+        let Some(page) = force.plan.pages.get(start.page) else {
+            return vec![Action::Ended { run: id, answer: Answer::Errored }];
+        };
+        let step = |part: &Part| Step {
+            number: 0,
+            gate: force.gates[part.dependency],
+            until: now,
+            tries: 0,
+            calls: Vec::new(),
+            phase: Phase::Waiting,
+        };
+        let steps = page.parts.iter().map(step).collect();
+        self.runs.insert(id, Run { start, force: force.clone(), steps });
+        for (place, part) in page.parts.iter().enumerate() {
+            if !self.begin(now, id, place, part.dependency, &mut out) {
+                self.fall_back(now, id, place, &mut out);
+            }
+        }
+        self.finish(now, id, &mut out);
+        out
+    }
+
+    /// Ends a run at once; its calls in hand are given up.
+    pub fn stop(&mut self, now: Time, id: ReqId) -> Vec<Action> {
+        let mut out = Vec::new();
+        if self.runs.contains_key(&id) {
+            self.end(now, id, Answer::Stopped, &mut out);
+        }
+        out
+    }
+
+    /// All is to be answered by `until`: steps in hand are cut to it.
+    pub fn leaving(&mut self, until: Time) {
+        self.leave = until;
+        let cut = self.runs.iter_mut().flat_map(|(id, run)| {
+            run.steps.iter_mut().enumerate().map(move |(place, step)| (*id, place, step))
+        });
+        for (id, place, step) in cut {
+            if step.until > until {
+                step.until = until;
+                self.timers.insert((until, Timer::Step(id, place, step.number)));
+            }
+        }
+    }
+
+    /// When `timer` is to be called.
+    pub fn next(&self) -> Option<Time> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    pub fn timer(&mut self, now: Time) -> Vec<Action> {
+        let mut out = Vec::new();
+        while let Some((_, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.pop_first();
+            match timer {
+                Timer::Step(id, place, number) => self.out_of_time(now, id, place, number, &mut out),
+                Timer::Hedge(call) => self.hedge(now, call, &mut out),
+                Timer::Frees(gate) => self.drain(now, gate, &mut out),
+            }
+        }
+        out
+    }
+
+    /// A call has ended, or is listened to no longer.
+    pub fn ended(&mut self, now: Time, id: CallId, outcome: Outcome) -> Vec<Action> {
+        let mut out = Vec::new();
+        let Some(call) = self.calls.remove(&id) else { return out };
+        let goes_on = outcome == Outcome::Lost;
+        let took = now - call.since;
+        if let Some(gate) = self.gates.get_mut(&call.gate) {
+            gate.over(now, goes_on);
+            if matches!(outcome, Outcome::Good(_)) {
+                gate.latency.learn(now, took);
+            }
+        }
+        if goes_on {
+            self.frees(now, call.gate);
+        }
+        let learnt = match outcome {
+            _ if call.left => None,
+            Outcome::Good(_) => Some(Learnt::Well),
+            Outcome::Failed | Outcome::Refused | Outcome::Lost => Some(Learnt::Ill),
+            Outcome::Unfit | Outcome::Stale => Some(Learnt::Nothing),
+        };
+        if let Some(learnt) = learnt {
+            self.learn(now, call.gate, call.probe, learnt, &mut out);
+            self.settle_call(now, id, &call, outcome, &mut out);
+            self.finish(now, call.run, &mut out);
+        }
+        self.drain(now, call.gate, &mut out);
+        out
+    }
+
+    fn learn(&mut self, now: Time, gate: GateId, probe: bool, learnt: Learnt, out: &mut Vec<Action>) {
+        let draw = self.random.f64();
+        let Some(gate) = self.gates.get_mut(&gate) else { return };
+        if gate.learn(now, probe, learnt, draw) {
+            let (dependency, stage, limit) = (gate.spec.name.clone(), gate.stage(), gate.limit.calls());
+            out.push(Action::Changed { dependency, stage, limit });
+        }
+    }
+
+    /// What the end of a call means for the part that waits for it.
+    fn settle_call(&mut self, now: Time, id: CallId, call: &Call, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(&call.run) else { return };
+        let (force, may_repeat) = (run.force.clone(), run.start.may_repeat);
+        let Some(step) = run.steps.get_mut(call.part) else { return };
+        step.calls.retain(|other| *other != id);
+        match outcome {
+            Outcome::Good(body) => {
+                let spec = &self.gates[&call.gate].spec;
+                let state = if step.number == 0 { State::Whole } else { State::Other(spec.name.clone()) };
+                if let Some(place) = force.gates.iter().position(|g| *g == call.gate) {
+                    if force.plan.keeps(place) {
+                        let key = (spec.name.clone(), run.start.customer, run.start.body.clone());
+                        self.kept.keep(now, key, body.clone());
+                    }
+                }
+                self.settle(now, call.run, call.part, state, Some(body), out);
+            }
+            // The second call of the step is still out.
+            _ if !step.calls.is_empty() => {}
+            outcome => {
+                let safe = may_repeat && outcome != Outcome::Unfit || outcome == Outcome::Refused;
+                let usual = self.gates[&call.gate].latency.usual().unwrap_or(Time(1));
+                let (tries, until) = (step.tries, step.until);
+                let again = safe && tries < TRIES && until - now > usual;
+                if again && self.gates.get_mut(&call.gate).is_some_and(|g| g.extra(now)) {
+                    self.gates.entry(call.gate).and_modify(|g| g.sums.repeats += 1);
+                    self.call(now, call.run, call.part, false, out);
+                } else {
+                    self.fall_back(now, call.run, call.part, out);
+                }
+            }
+        }
+    }
+
+    /// The end of a step on the dependency at `place` of the plan: its own budget, what is left to the response
+    /// target (to the due time where that is past), whichever is less; where fall-backs on other dependencies
+    /// follow, they get their share of what is left.
+    fn step_end(&self, now: Time, run: &Run, part: &Part, number: usize, place: usize) -> Time {
+        let plan = &run.force.plan;
+        let due = run.start.due.min(self.leave) - RESERVE;
+        if !plan.defences.budget {
+            return due;
+        }
+        let target = run.start.target - RESERVE;
+        let last = if target > now { target.min(due) } else { due };
+        let own = plan.dependencies[place].budget;
+        let later = part.fallbacks.iter().skip(number).filter_map(|f| match f {
+            Fallback::Other(place) if plan.defences.fallback => Some(plan.dependencies[*place].budget),
+            _ => None,
+        });
+        let all = later.fold(own, |sum, budget| sum + budget);
+        let left = last - now;
+        now + if all > left { own.times((left.num() / all.num()).max(0.0)) } else { own }
+    }
+
+    /// Begins a step on a dependency: a call, or a place in its queue. False where neither can be had.
+    fn begin(
+        &mut self, now: Time, id: ReqId, place: usize, dependency: usize, out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(run) = self.runs.get(&id) else { return false };
+        let force = run.force.clone();
+        let part = &force.plan.pages[run.start.page].parts[place];
+        let number = run.steps[place].number;
+        let until = self.step_end(now, run, part, number, dependency);
+        let gate_id = force.gates[dependency];
+        let Some(gate) = self.gates.get_mut(&gate_id) else { return false };
+        if until <= now {
+            return false;
+        }
+        let verdict = gate.verdict(now);
+        match verdict {
+            Verdict::Shut => {
+                gate.sums.shut += 1;
+                return false;
+            }
+            // One that cannot be answered in what would be left is better off with its fall-back.
+            Verdict::Full
+                if gate.waiting.len() >= gate.spec.waiting
+                    || gate.latency.usual().is_some_and(|usual| usual > until - now) =>
+            {
+                gate.sums.full += 1;
+                return false;
+            }
+            Verdict::Full => gate.waiting.push_back((id, place)),
+            Verdict::Go { .. } => {}
+        }
+        let Some(run) = self.runs.get_mut(&id) else { return false };
+        let step = &mut run.steps[place];
+        (step.gate, step.until, step.tries, step.phase) = (gate_id, until, 0, Phase::Waiting);
+        self.timers.insert((until, Timer::Step(id, place, number)));
+        if let Verdict::Go { probe } = verdict {
+            self.first_call(now, id, place, probe, out);
+        }
+        true
+    }
+
+    fn first_call(&mut self, now: Time, id: ReqId, place: usize, probe: bool, out: &mut Vec<Action>) {
+        let gate = self.runs[&id].steps[place].gate;
+        if let Some(gate) = self.gates.get_mut(&gate) {
+            gate.retries.first();
+            gate.sums.first += 1;
+        }
+        let call = self.call(now, id, place, probe, out);
+        let run = &self.runs[&id];
+        let (until, may_repeat) = (run.steps[place].until, run.start.may_repeat);
+        if may_repeat && run.force.plan.defences.hedge {
+            if let Some(after) = self.gates.get_mut(&gate).and_then(Gate::hedge_after) {
+                if now + after < until {
+                    self.timers.insert((now + after, Timer::Hedge(call)));
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, now: Time, id: ReqId, place: usize, probe: bool, out: &mut Vec<Action>) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        if let Some(run) = self.runs.get_mut(&id) {
+            let step = &mut run.steps[place];
+            step.phase = Phase::Calling;
+            step.tries += 1;
+            step.calls.push(call);
+            let (within, gate_id) = (step.until - now, step.gate);
+            let (body, reuse) = (run.start.body.clone(), run.start.may_repeat);
+            let since = now;
+            if let Some(gate) = self.gates.get_mut(&gate_id) {
+                gate.sent(probe);
+                let to = run.force.gates.iter().position(|g| *g == gate_id);
+                let to = to.map_or(gate.spec.clone(), |at| run.force.plan.dependencies[at].clone());
+                out.push(Action::Call { call, run: id, to, body, within, reuse });
+            }
+            let call_of = Call { run: id, part: place, gate: gate_id, since, within, probe, left: false };
+            self.calls.insert(call, call_of);
+        }
+        call
+    }
+
+    /// A second call for one that takes longer than nearly all.
+    fn hedge(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id).filter(|c| !c.left) else { return };
+        let (run, part, gate) = (call.run, call.part, call.gate);
+        let Some(step) = self.runs.get(&run).map(|r| &r.steps[part]) else { return };
+        let alone = step.calls == [id] && step.tries < TRIES;
+        if alone && self.gates.get_mut(&gate).is_some_and(|g| g.extra(now)) {
+            self.gates.entry(gate).and_modify(|g| g.sums.hedges += 1);
+            self.call(now, run, part, false, out);
+        }
+    }
+
+    /// A step's time is over: what waits leaves the queue, what is out is listened to a little longer.
+    fn out_of_time(&mut self, now: Time, id: ReqId, place: usize, number: usize, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get(&id) else { return };
+        let step = &run.steps[place];
+        let open = matches!(step.phase, Phase::Waiting | Phase::Calling);
+        if !open || step.number != number || step.until > now {
+            return;
+        }
+        let gate = step.gate;
+        for call in step.calls.clone() {
+            self.leave_call(now, call, LISTEN, out);
+        }
+        self.leave_queue(gate, id, place);
+        self.fall_back(now, id, place, out);
+        self.finish(now, id, out);
+        self.drain(now, gate, out);
+    }
+
+    fn leave_queue(&mut self, gate: GateId, id: ReqId, place: usize) {
+        if let Some(gate) = self.gates.get_mut(&gate) {
+            gate.waiting.retain(|waits| *waits != (id, place));
+        }
+    }
+
+    /// A call got no answer in its time.
+    fn leave_call(&mut self, now: Time, id: CallId, listen: f64, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.left) else { return };
+        call.left = true;
+        let (gate, probe, within) = (call.gate, call.probe, call.within);
+        let listen = within.times(listen);
+        let fair = self.gates.get_mut(&gate).is_some_and(|g| {
+            g.sums.late += 1;
+            g.fair(within)
+        });
+        let learnt = if fair { Learnt::Ill } else { Learnt::Nothing };
+        self.learn(now, gate, probe, learnt, out);
+        out.push(Action::GiveUp { call: id, listen });
+        if listen <= Time(0) {
+            self.close(now, id);
+        }
+    }
+
+    /// A call is not needed any more, which says nothing of its dependency: it is listened to for what is left of
+    /// its time, since one that ends frees its place at once.
+    fn drop_call(&mut self, now: Time, id: CallId, listens: bool, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.left) else { return };
+        call.left = true;
+        let (gate, probe) = (call.gate, call.probe);
+        let listen = if listens { (call.since + call.within - now).max(Time(0)) } else { Time(0) };
+        self.learn(now, gate, probe, Learnt::Nothing, out);
+        out.push(Action::GiveUp { call: id, listen });
+        if listen <= Time(0) {
+            self.close(now, id);
+        }
+    }
+
+    /// Its connection is closed: it may go on unseen.
+    fn close(&mut self, now: Time, id: CallId) {
+        if let Some(call) = self.calls.remove(&id) {
+            if let Some(gate) = self.gates.get_mut(&call.gate) {
+                gate.over(now, true);
+            }
+            self.frees(now, call.gate);
+        }
+    }
+
+    fn frees(&mut self, now: Time, gate: GateId) {
+        if let Some(at) = self.gates.get(&gate).and_then(|g| g.frees(now)) {
+            self.timers.insert((at, Timer::Frees(gate)));
+        }
+    }
+
+    /// Takes the part's next fall-backs until one brings something or is begun.
+    fn fall_back(&mut self, now: Time, id: ReqId, place: usize, out: &mut Vec<Action>) {
+        loop {
+            let Some(run) = self.runs.get_mut(&id) else { return };
+            let force = run.force.clone();
+            let part = &force.plan.pages[run.start.page].parts[place];
+            let step = &mut run.steps[place];
+            step.number += 1;
+            step.calls.clear();
+            let fallback = part.fallbacks.get(step.number - 1).filter(|_| force.plan.defences.fallback);
+            match fallback {
+                None | Some(Fallback::LeaveOut) => {
+                    return self.settle(now, id, place, State::Missing, None, out);
+                }
+                Some(Fallback::Fixed(body)) => {
+                    return self.settle(now, id, place, State::Fixed, Some(body.clone()), out);
+                }
+                Some(Fallback::Kept(most)) => {
+                    let name = force.plan.dependencies[part.dependency].name.clone();
+                    let key: Key = (name, run.start.customer, run.start.body.clone());
+                    if let Some((age, body)) = self.kept.find(now, &key, *most) {
+                        return self.settle(now, id, place, State::Kept(age), Some(body), out);
+                    }
+                }
+                Some(Fallback::Other(dependency)) => {
+                    if self.begin(now, id, place, *dependency, out) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn settle(
+        &mut self, now: Time, id: ReqId, place: usize, state: State, body: Option<Rc<[u8]>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        let step = &mut run.steps[place];
+        step.phase = Phase::Settled(state, body);
+        for call in std::mem::take(&mut step.calls) {
+            self.drop_call(now, call, true, out);
+        }
+    }
+
+    /// Ends a run once all its parts are settled, or one that it cannot do without is missing.
+    fn finish(&mut self, now: Time, id: ReqId, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get(&id) else { return };
+        let page = &run.force.plan.pages[run.start.page];
+        let needs_all = !run.force.plan.defences.fallback;
+        let settled = |step: &Step| match &step.phase {
+            Phase::Settled(state, body) => Some((state.clone(), body.clone())),
+            _ => None,
+        };
+        let ends: Vec<_> = run.steps.iter().map(settled).collect();
+        let lacks = |(part, end): (&Part, &Option<(State, _)>)| {
+            (part.required || needs_all) && end.as_ref().is_some_and(|(state, _)| *state == State::Missing)
+        };
+        if page.parts.iter().zip(&ends).any(lacks) {
+            return self.end(now, id, Answer::Errored, out);
+        }
+        if ends.iter().all(Option::is_some) {
+            let parts = page.parts.iter().zip(ends).filter_map(|(part, end)| {
+                let (state, body) = end?;
+                Some(PartEnd { name: part.name.clone(), state, body })
+            });
+            let answer = Answer::Parts(parts.collect());
+            self.end(now, id, answer, out);
+        }
+    }
+
+    fn end(&mut self, now: Time, id: ReqId, answer: Answer, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.remove(&id) else { return };
+        let stopped = answer == Answer::Stopped;
+        out.push(Action::Ended { run: id, answer });
+        for (place, step) in run.steps.iter().enumerate() {
+            self.leave_queue(step.gate, id, place);
+            for call in &step.calls {
+                self.drop_call(now, *call, !stopped, out);
+            }
+        }
+        let gates: BTreeSet<_> = run.steps.iter().map(|step| step.gate).collect();
+        gates.into_iter().for_each(|gate| self.drain(now, gate, out));
+    }
+
+    /// Lets what waits for a dependency go, oldest first, as far as there is room.
+    fn drain(&mut self, now: Time, id: GateId, out: &mut Vec<Action>) {
+        while let Some(gate) = self.gates.get_mut(&id) {
+            let Some((run, place)) = gate.waiting.front().copied() else { return };
+            let verdict = gate.verdict(now);
+            match verdict {
+                Verdict::Full => return self.frees(now, id),
+                Verdict::Shut => {
+                    gate.waiting.pop_front();
+                    gate.sums.shut += 1;
+                    self.fall_back(now, run, place, out);
+                    self.finish(now, run, out);
+                }
+                Verdict::Go { probe } => {
+                    gate.waiting.pop_front();
+                    let until = self.runs.get(&run).map(|r| r.steps[place].until);
+                    // Its timer has not fired yet, or takes what is left of its time.
+                    if until.is_some_and(|until| until > now) {
+                        self.first_call(now, run, place, probe, out);
+                    } else {
+                        self.fall_back(now, run, place, out);
+                        self.finish(now, run, out);
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn open_runs(&self) -> usize {
+        self.runs.len()
+    }
+
+    pub fn kept_bytes(&self) -> usize {
+        self.kept.bytes()
+    }
+
+    /// Each dependency's sums since they were last taken, its limit, what is held there and its breaker.
+    pub fn sums(&mut self, now: Time) -> Vec<(Rc<str>, Sums, usize, usize, Stage)> {
+        let taken = self.gates.values_mut().map(|gate| {
+            let sums = std::mem::take(&mut gate.sums);
+            (gate.spec.name.clone(), sums, gate.limit.calls(), gate.held(now), gate.stage())
+        });
+        taken.collect()
+    }
+
+    /// What must hold after every input, in words where it does not.
+    pub fn audit(&self, now: Time) -> Result<(), String> {
+        for (id, gate) in &self.gates {
+            let of = |c: &&Call| c.gate == *id;
+            let in_hand = self.calls.values().filter(of).count();
+            if in_hand != gate.in_hand() {
+                return Err(format!("{}: {in_hand} calls, {} counted", gate.spec.name, gate.in_hand()));
+            }
+            if gate.waiting.len() > gate.spec.waiting.max(1) * 2 {
+                return Err(format!("{}: {} wait", gate.spec.name, gate.waiting.len()));
+            }
+            for (run, place) in &gate.waiting {
+                let step = self.runs.get(run).map(|r| &r.steps[*place]);
+                if !step.is_some_and(|s| s.gate == *id && matches!(s.phase, Phase::Waiting)) {
+                    return Err(format!("{}: what waits there does not", gate.spec.name));
+                }
+            }
+        }
+        for (id, run) in &self.runs {
+            let mut open = false;
+            for (place, step) in run.steps.iter().enumerate() {
+                let calls = step.calls.iter().all(|c| self.calls.get(c).is_some_and(|c| !c.left));
+                let sound = match &step.phase {
+                    Phase::Waiting => {
+                        let gate = self.gates.get(&step.gate);
+                        step.calls.is_empty() && gate.is_some_and(|g| g.waiting.contains(&(*id, place)))
+                    }
+                    Phase::Calling => calls && !step.calls.is_empty() && step.calls.len() <= 2,
+                    Phase::Settled(..) => step.calls.is_empty(),
+                };
+                if !sound {
+                    return Err(format!("run {id:?}, part {place}: {step:?}"));
+                }
+                let waits = !matches!(step.phase, Phase::Settled(..));
+                open |= waits;
+                if waits && (step.until <= now || step.until > run.start.due.min(self.leave).max(now)) {
+                    return Err(format!("run {id:?}, part {place}: its step ends {:?}", step.until));
+                }
+                if waits && !self.timers.contains(&(step.until, Timer::Step(*id, place, step.number))) {
+                    return Err(format!("run {id:?}, part {place}: no timer"));
+                }
+            }
+            if !open {
+                return Err(format!("run {id:?} has nothing open and has not ended"));
+            }
+        }
+        if self.kept.bytes() != self.kept.counted() {
+            return Err(format!("{} bytes kept, {} counted", self.kept.counted(), self.kept.bytes()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/depend/tests/random.rs
@@ -0,0 +1,216 @@
+//! Seeded random runs against a model of the dependencies that counts by itself: what is held there, extra calls,
+//! and the ends of runs. Every step is audited.
+use cottondyke_decide::types::{CustomerId, ReqId, Time};
+use cottondyke_depend::*;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const STEPS: usize = 1_000_000;
+const SEEDS: u64 = 100;
+
+fn dependency(name: &str, random: &mut fastrand::Rng) -> Rc<Dependency> {
+    let share = random.usize(1..9);
+    Rc::new(Dependency {
+        name: name.into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        path: "/".into(),
+        json: false,
+        budget: Time(random.i64(50..3_000)),
+        share,
+        floor: random.usize(1..=share),
+        linger: Time(random.i64(1..2_000)),
+        waiting: random.usize(0..6),
+        retries: [0.0, 0.1, 0.5][random.usize(0..3)],
+        hedge: [None, Some(0.5), Some(0.95)][random.usize(0..3)],
+    })
+}
+
+fn plan(random: &mut fastrand::Rng, defences: Defences) -> Plan {
+    let names = ["catalogue", "prices", "stock", "backup"];
+    let count = random.usize(1..=names.len());
+    let dependencies: Vec<_> = names[..count].iter().map(|name| dependency(name, random)).collect();
+    let part = |place: usize, random: &mut fastrand::Rng| {
+        let required = random.u8(0..5) == 0;
+        let mut fallback = || match random.u8(0..4) {
+            0 => Fallback::Kept(Time(random.i64(1..50_000))),
+            1 => Fallback::Other(random.usize(0..count)),
+            2 => Fallback::Fixed((*b"fixed").into()),
+            _ => Fallback::LeaveOut,
+        };
+        let fallbacks = if required { Vec::new() } else { vec![fallback(), fallback(), fallback()] };
+        Part { name: format!("part{place}").into(), dependency: place % count, required, fallbacks }
+    };
+    let pages = (0..3).map(|_| {
+        let parts = (0..random.usize(1..5)).map(|place| part(place, random)).collect();
+        Page { parts }
+    });
+    let pages = pages.collect();
+    Plan { dependencies, pages, kept_bytes: random.usize(0..4_000), defences }
+}
+
+struct Model {
+    random: fastrand::Rng,
+    now: Time,
+    pages: Pages,
+    plan: Plan,
+    next_run: u32,
+    /// Open runs and when they are due.
+    runs: BTreeMap<ReqId, Time>,
+    /// Calls that the driver has in hand, and the dependency, whether listened to until a time.
+    calls: BTreeMap<CallId, (Rc<str>, Option<Time>)>,
+    /// Calls that were given up and go on unseen: the worst that a dependency may do.
+    unseen: Vec<(Rc<str>, Time)>,
+    ends: u64,
+}
+
+impl Model {
+    fn carry(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call { call, run, to, within, .. } => {
+                    assert!(self.runs.contains_key(&run), "a call for a run that has ended");
+                    assert!(within > Time(0) && self.now + within <= self.runs[&run], "past the due time");
+                    self.calls.insert(call, (to.name.clone(), None));
+                    if self.plan.defences.limit {
+                        self.check_held(&to.name);
+                    }
+                }
+                Action::GiveUp { call, listen } => {
+                    let (name, _) = self.calls.remove(&call).expect("given up once, while it is out");
+                    if listen > Time(0) {
+                        self.calls.insert(call, (name, Some(self.now + listen)));
+                    } else {
+                        self.linger(name);
+                    }
+                }
+                Action::Ended { run, answer } => {
+                    let due = self.runs.remove(&run).expect("a run ends once");
+                    assert!(self.now <= due, "ended after it was due");
+                    self.ends += 1;
+                    if let Answer::Parts(parts) = answer {
+                        for part in parts {
+                            assert_eq!(part.state == State::Missing, part.body.is_none(), "{part:?}");
+                        }
+                    }
+                }
+                Action::Changed { .. } => {}
+            }
+        }
+    }
+
+    fn linger(&mut self, name: Rc<str>) {
+        let spec = self.plan.dependencies.iter().find(|d| d.name == name);
+        let linger = spec.map_or(Time(0), |d| d.linger);
+        self.unseen.push((name, self.now + linger));
+    }
+
+    /// Never over the share of the file in force, but for what was held when it shrank.
+    fn check_held(&mut self, name: &Rc<str>) {
+        let now = self.now;
+        self.unseen.retain(|(_, end)| *end > now);
+        let held = self.calls.values().filter(|(of, _)| of == name).count()
+            + self.unseen.iter().filter(|(of, _)| of == name).count();
+        if let Some(spec) = self.plan.dependencies.iter().find(|d| d.name == *name) {
+            assert!(held <= spec.share, "{held} held at {name}, share {}", spec.share);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += Time(self.random.i64(0..60));
+        // The driver calls the timer in time, and stops listening when it should.
+        while let Some(at) = self.pages.next().filter(|at| *at <= self.now) {
+            let now = std::mem::replace(&mut self.now, at);
+            let actions = self.pages.timer(at);
+            self.carry(actions);
+            self.now = now;
+        }
+        let over: Vec<_> = self.calls.iter().filter(|(_, c)| c.1.is_some_and(|at| at <= self.now)).collect();
+        let over: Vec<_> = over.into_iter().map(|(id, _)| *id).collect();
+        for id in over {
+            self.end(id, Outcome::Lost);
+        }
+        match self.random.u8(0..100) {
+            0..40 if self.runs.len() < 12 => {
+                let run = ReqId(self.next_run);
+                self.next_run += 1;
+                let target = self.now + Time(self.random.i64(-100..3_000));
+                let due = target.max(self.now) + Time(self.random.i64(101..2_000));
+                let start = Start {
+                    run,
+                    page: self.random.usize(0..3),
+                    body: self.random.u8(0..6).to_string().into_bytes().into(),
+                    customer: [None, Some(CustomerId(1))][self.random.usize(0..2)],
+                    target,
+                    due,
+                    may_repeat: self.random.bool(),
+                };
+                self.runs.insert(run, due);
+                let actions = self.pages.start(self.now, start);
+                self.carry(actions);
+            }
+            40..44 => {
+                if let Some(run) = self.random.choice(self.runs.keys().copied().collect::<Vec<_>>()) {
+                    let actions = self.pages.stop(self.now, run);
+                    self.carry(actions);
+                    assert!(!self.runs.contains_key(&run), "a stopped run ends at once");
+                }
+            }
+            _ => {
+                if let Some(call) = self.random.choice(self.calls.keys().copied().collect::<Vec<_>>()) {
+                    let outcome = match self.random.u8(0..10) {
+                        0..6 => Outcome::Good(vec![0; self.random.usize(0..600)].into()),
+                        6 => Outcome::Failed,
+                        7 => Outcome::Unfit,
+                        8 => Outcome::Refused,
+                        _ if self.random.bool() => Outcome::Stale,
+                        _ => Outcome::Lost,
+                    };
+                    self.end(call, outcome);
+                }
+            }
+        }
+        if let Err(wrong) = self.pages.audit(self.now) {
+            panic!("{wrong}");
+        }
+        assert_eq!(self.pages.open_runs(), self.runs.len());
+        assert!(self.pages.kept_bytes() <= self.plan.kept_bytes);
+    }
+
+    fn end(&mut self, id: CallId, outcome: Outcome) {
+        let (name, _) = self.calls.remove(&id).expect("it is out");
+        if outcome == Outcome::Lost {
+            self.linger(name);
+        }
+        let actions = self.pages.ended(self.now, id, outcome);
+        self.carry(actions);
+    }
+}
+
+/// Guards the whole of the package: limits, budgets and exactly one end for each run and call, after every step.
+#[test]
+fn random_runs_keep_every_promise() {
+    let mut ends = 0;
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut defences = Defences::default();
+        if seed % 4 == 3 {
+            let off = [&mut defences.budget, &mut defences.adapt, &mut defences.breaker, &mut defences.kept];
+            off.into_iter().for_each(|defence| *defence = random.bool());
+        }
+        let plan = plan(&mut random, defences);
+        let pages = Pages::new(Time(0), plan.clone(), seed, seed % 2 == 0);
+        let (runs, calls) = (BTreeMap::new(), BTreeMap::new());
+        let (unseen, now) = (Vec::new(), Time(0));
+        let mut model = Model { random, now, pages, plan, next_run: 0, runs, calls, unseen, ends: 0 };
+        (0..STEPS / SEEDS as usize).for_each(|_| model.step());
+        // Everything ends by itself once nothing new comes and no call is answered.
+        while let Some(at) = model.pages.next() {
+            model.now = model.now.max(at);
+            let actions = model.pages.timer(model.now);
+            model.carry(actions);
+        }
+        assert!(model.runs.is_empty(), "{} runs never ended", model.runs.len());
+        ends += model.ends;
+    }
+    assert!(ends > STEPS as u64 / 10, "only {ends} runs ended: the model is too idle to show anything");
+}
