--- a/crates/depend/src/pages.rs
+++ b/crates/depend/src/pages.rs
@@ -67,6 +67,8 @@
     pub name: Rc<str>,
     pub state: State,
     pub body: Option<Rc<[u8]>>,
+    /// Whether the body is JSON; else it is text.
+    pub json: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -629,7 +631,15 @@
         if ends.iter().all(Option::is_some) {
             let parts = page.parts.iter().zip(ends).filter_map(|(part, end)| {
                 let (state, body) = end?;
-                Some(PartEnd { name: part.name.clone(), state, body })
+                let own = &run.force.plan.dependencies[part.dependency];
+                let json = match &state {
+                    State::Other(name) => {
+                        let other = run.force.plan.dependencies.iter().find(|d| d.name == *name);
+                        other.is_some_and(|d| d.json)
+                    }
+                    _ => own.json,
+                };
+                Some(PartEnd { name: part.name.clone(), state, body, json })
             });
             let answer = Answer::Parts(parts.collect());
             self.end(now, id, answer, out);
--- /dev/null
+++ b/crates/operator/src/args.rs
@@ -0,0 +1,192 @@
+//! Reads the arguments of one declaration: each is asked for by name with what is expected of it, and what was
+//! not asked for is an error with the nearest name that is known.
+use crate::script::{Declared, AT, MADE};
+use crate::{Place, Wrong};
+use cottondyke_decide::types::Time;
+use serde_json::{Map, Value as Json};
+
+/// How alike two names must be for one to be offered for the other.
+const ALIKE: f64 = 0.6;
+
+/// The known name nearest to a mistyped one, as the end of an error's text.
+pub fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    let likeness = |other: &str| strsim::jaro_winkler(name, other);
+    let best = known.max_by(|a, b| likeness(a).total_cmp(&likeness(b)));
+    best.filter(|b| likeness(b) >= ALIKE).map_or(String::new(), |best| format!(" (the nearest is {best:?})"))
+}
+
+pub fn shown(value: &Json) -> String {
+    let text = value.to_string();
+    if text.chars().count() > 60 {
+        text.chars().take(57).collect::<String>() + "..."
+    } else {
+        text
+    }
+}
+
+/// A span such as "300ms", "1.8s", "2m" or "1h".
+pub fn duration(text: &str) -> Option<Time> {
+    let digits = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = text.split_at(digits);
+    let number: f64 = number.parse().ok()?;
+    let ms = match unit {
+        "ms" => 1.0,
+        "s" => 1_000.0,
+        "m" => 60_000.0,
+        "h" => 3_600_000.0,
+        _ => return None,
+    };
+    let tenths = number * ms * 10.0;
+    (tenths.is_finite() && tenths <= 1e12).then_some(Time(tenths.round() as i64))
+}
+
+/// The arguments of one declaration, taken out one by one.
+pub struct Args {
+    pub function: String,
+    pub at: Place,
+    named: Map<String, Json>,
+    asked: Vec<&'static str>,
+}
+
+impl Args {
+    /// `first`: the names of the arguments that may be given by their position.
+    pub fn new(declared: Declared, first: &[&'static str]) -> Result<Self, Wrong> {
+        let Declared { function, at, args, mut named } = declared;
+        let count = args.len();
+        let wrong = |what: String| Wrong { at: at.clone(), what };
+        if count > first.len() {
+            let names = first.join(", ");
+            let most = if first.is_empty() {
+                "named arguments alone".into()
+            } else {
+                format!("only {names} unnamed")
+            };
+            return Err(wrong(format!("{function}: {count} unnamed arguments: expected {most}")));
+        }
+        for (name, value) in first.iter().zip(args) {
+            if named.insert(name.to_string(), value).is_some() {
+                return Err(wrong(format!("{function}: {name} is given twice")));
+            }
+        }
+        Ok(Args { function, at, named, asked: Vec::new() })
+    }
+
+    /// A value that `part`, `kept` or their like made.
+    pub fn made(value: &Json, first: &[&'static str]) -> Option<Result<Self, Wrong>> {
+        let function = value.get(MADE)?.as_str()?.to_string();
+        let at = value.get(AT)?;
+        let at = Place { file: at.get(0)?.as_str()?.to_string(), line: at.get(1)?.as_u64()? as usize };
+        let args = value.get("args")?.as_array()?.clone();
+        let named = value.get("named")?.as_object()?.clone();
+        Some(Args::new(Declared { function, at, args, named }, first))
+    }
+
+    pub fn wrong(&self, what: impl Into<String>) -> Wrong {
+        Wrong { at: self.at.clone(), what: format!("{}: {}", self.function, what.into()) }
+    }
+
+    pub fn expected(&self, name: &str, value: &Json, what: &str) -> Wrong {
+        self.wrong(format!("{name} = {}: expected {what}", shown(value)))
+    }
+
+    /// What was given under a name; `None` stands for not given.
+    pub fn maybe(&mut self, name: &'static str) -> Option<Json> {
+        self.asked.push(name);
+        self.named.remove(name).filter(|v| !v.is_null())
+    }
+
+    pub fn value(&mut self, name: &'static str, what: &str) -> Result<Json, Wrong> {
+        self.maybe(name).ok_or_else(|| self.wrong(format!("{name} is missing: expected {what}")))
+    }
+
+    pub fn text(&mut self, name: &'static str, what: &str) -> Result<String, Wrong> {
+        let value = self.value(name, what)?;
+        value.as_str().map(String::from).ok_or_else(|| self.expected(name, &value, what))
+    }
+
+    /// A name: letters, digits, dashes, dots and underscores.
+    pub fn name(&mut self, name: &'static str) -> Result<String, Wrong> {
+        const WHAT: &str = "a name of at most 64 letters, digits, dashes, dots and underscores";
+        let text = self.text(name, WHAT)?;
+        let fits = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if text.is_empty() || text.len() > 64 || !text.chars().all(fits) {
+            return Err(self.expected(name, &Json::String(text), WHAT));
+        }
+        Ok(text)
+    }
+
+    pub fn flag(&mut self, name: &'static str, default: bool) -> Result<bool, Wrong> {
+        let Some(value) = self.maybe(name) else { return Ok(default) };
+        value.as_bool().ok_or_else(|| self.expected(name, &value, "True or False"))
+    }
+
+    pub fn number(
+        &mut self, name: &'static str, least: f64, most: f64, default: Option<f64>,
+    ) -> Result<f64, Wrong> {
+        let what = format!("a number from {least} to {most}");
+        let value = match (self.maybe(name), default) {
+            (Some(value), _) => value,
+            (None, Some(default)) => return Ok(default),
+            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
+        };
+        let number = value.as_f64().filter(|n| (least..=most).contains(n));
+        number.ok_or_else(|| self.expected(name, &value, &what))
+    }
+
+    pub fn whole(
+        &mut self, name: &'static str, least: u64, most: u64, default: Option<u64>,
+    ) -> Result<u64, Wrong> {
+        let what = format!("a whole number from {least} to {most}");
+        let value = match (self.maybe(name), default) {
+            (Some(value), _) => value,
+            (None, Some(default)) => return Ok(default),
+            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
+        };
+        let number = value.as_u64().filter(|n| (least..=most).contains(n));
+        number.ok_or_else(|| self.expected(name, &value, &what))
+    }
+
+    pub fn duration(&mut self, name: &'static str, default: Option<Time>) -> Result<Time, Wrong> {
+        const WHAT: &str = "a time over 0 such as \"300ms\", \"1.8s\" or \"2m\"";
+        let value = match (self.maybe(name), default) {
+            (Some(value), _) => value,
+            (None, Some(default)) => return Ok(default),
+            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {WHAT}"))),
+        };
+        let time = value.as_str().and_then(duration).filter(|t| *t > Time(0));
+        time.ok_or_else(|| self.expected(name, &value, WHAT))
+    }
+
+    pub fn one_of(
+        &mut self, name: &'static str, known: &[&str], default: Option<&str>,
+    ) -> Result<String, Wrong> {
+        let what = format!("one of {}", known.join(", "));
+        let value = match (self.maybe(name), default) {
+            (Some(value), _) => value,
+            (None, Some(default)) => return Ok(default.to_string()),
+            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
+        };
+        let text = value.as_str().unwrap_or_default();
+        if known.contains(&text) {
+            return Ok(text.to_string());
+        }
+        let near = nearest(text, known.iter().copied());
+        Err(self.expected(name, &value, &(what + &near)))
+    }
+
+    pub fn list(&mut self, name: &'static str, what: &str) -> Result<Vec<Json>, Wrong> {
+        match self.maybe(name) {
+            None => Ok(Vec::new()),
+            Some(Json::Array(list)) => Ok(list),
+            Some(value) => Err(self.expected(name, &value, what)),
+        }
+    }
+
+    /// Nothing is left that was not asked for.
+    pub fn finish(self) -> Result<(), Wrong> {
+        let Some(name) = self.named.keys().next() else { return Ok(()) };
+        let near = nearest(name, self.asked.iter().copied());
+        let known = self.asked.join(", ");
+        Err(self.wrong(format!("{name:?} is no argument of it: expected any of {known}{near}")))
+    }
+}
--- /dev/null
+++ b/crates/operator/src/check.rs
@@ -0,0 +1,293 @@
+//! Holds what a script declares against itself and against the handlers that there are, and makes the plan of it.
+use crate::args::nearest;
+use crate::typed::*;
+use crate::{Place, Wrong};
+use cottondyke_decide::types::Time;
+use cottondyke_depend as depend;
+use std::rc::Rc;
+
+/// Kept back of the response target for composing the answer and sending it.
+pub const RESERVE: Time = Time(100);
+
+/// A handler as the check needs it, from the configuration or from the script itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    pub name: String,
+    pub response_target: Time,
+}
+
+fn wrong<T>(at: &Place, what: String) -> Result<T, Wrong> {
+    Err(Wrong { at: at.clone(), what })
+}
+
+/// Two of one name: the second is wrong.
+fn once<'a>(of: &str, all: impl Iterator<Item = (&'a str, &'a Place)>) -> Result<(), Wrong> {
+    let mut seen: Vec<(&str, &Place)> = Vec::new();
+    for (name, at) in all {
+        if let Some((_, first)) = seen.iter().find(|(other, _)| *other == name) {
+            return wrong(at, format!("{of} {name:?} is declared twice, first in line {}", first.line));
+        }
+        seen.push((name, at));
+    }
+    Ok(())
+}
+
+impl Operator {
+    /// The handlers that the script itself declares.
+    pub fn own_handlers(&self) -> Vec<Known> {
+        let known = |h: &Handler| Known { name: h.name.clone(), response_target: Time(h.response_target) };
+        self.handlers.iter().map(known).collect()
+    }
+
+    pub fn defences(&self) -> depend::Defences {
+        let on = |name: &str| !self.off.iter().any(|off| off == name);
+        depend::Defences {
+            budget: on("budget"),
+            limit: on("limit"),
+            adapt: on("adapt") && on("limit"),
+            breaker: on("breaker"),
+            hedge: on("hedge"),
+            kept: on("kept"),
+            fallback: on("fallback"),
+        }
+    }
+
+    /// This instance's share of a dependency's ceiling: the sum over all instances never passes it.
+    pub fn share(&self, dependency: &Dependency) -> u64 {
+        dependency.ceiling / self.instances.unwrap_or(1).max(1)
+    }
+
+    /// Finds what cannot be obeyed: names that are not there, budgets that cannot fit, shares of nothing.
+    pub fn check(&self, handlers: &[Known]) -> Result<(), Wrong> {
+        once("handler", self.handlers.iter().map(|h| (h.name.as_str(), &h.at)))?;
+        once("customer", self.customers.iter().map(|c| (c.name.as_str(), &c.at)))?;
+        once("dependency", self.dependencies.iter().map(|d| (d.name.as_str(), &d.at)))?;
+        once("the page of handler", self.pages.iter().map(|p| (p.handler.as_str(), &p.at)))?;
+        if self.dependencies.len() > MOST_DEPENDENCIES {
+            let at = &self.dependencies[MOST_DEPENDENCIES].at;
+            return wrong(at, format!("more dependencies than {MOST_DEPENDENCIES}"));
+        }
+        for dependency in &self.dependencies {
+            self.check_dependency(dependency)?;
+        }
+        for page in &self.pages {
+            let names = || handlers.iter().map(|h| h.name.as_str());
+            let Some(handler) = handlers.iter().find(|h| h.name == page.handler) else {
+                let near = nearest(&page.handler, names());
+                let known = names().collect::<Vec<_>>().join(", ");
+                let known = if known.is_empty() { "none is declared".into() } else { known };
+                return wrong(
+                    &page.at,
+                    format!(
+                        "page: handler {:?} is not known: expected one of the handlers ({known}){near}",
+                        page.handler
+                    ),
+                );
+            };
+            self.check_page(page, handler)?;
+        }
+        Ok(())
+    }
+
+    /// With the script alone, nothing but pages can run its handlers.
+    pub fn check_alone(&self) -> Result<(), Wrong> {
+        let file = Place { file: self.file.clone(), line: 0 };
+        if self.serve.is_none() {
+            return wrong(
+                &file,
+                "serve(listen = ...) is missing: expected it where no configuration is given".into(),
+            );
+        }
+        if self.handlers.is_empty() {
+            return wrong(&file, "no handler(...) is declared: expected at least one".into());
+        }
+        self.check(&self.own_handlers())?;
+        let unserved = self.handlers.iter().find(|h| !self.pages.iter().any(|p| p.handler == h.name));
+        unserved.map_or(Ok(()), |handler| {
+            let what = format!(
+                "handler {:?} has no page: nothing would run its reqs; expected page({:?}, ...)",
+                handler.name, handler.name
+            );
+            wrong(&handler.at, what)
+        })
+    }
+
+    fn check_dependency(&self, dependency: &Dependency) -> Result<(), Wrong> {
+        let Some(instances) = self.instances else {
+            return wrong(&dependency.at, format!(
+                "dependency {:?}: its ceiling of {} cannot be divided: expected fleet(instances = N) in the script",
+                dependency.name, dependency.ceiling
+            ));
+        };
+        let share = self.share(dependency);
+        if share == 0 {
+            return wrong(&dependency.at, format!(
+                "dependency {:?}: ceiling = {} leaves nothing for each of {instances} instances: expected at least \
+                 {instances}", dependency.name, dependency.ceiling
+            ));
+        }
+        if dependency.floor > share {
+            return wrong(
+                &dependency.at,
+                format!(
+                    "dependency {:?}: floor = {}: expected at most this instance's share, {share}",
+                    dependency.name, dependency.floor
+                ),
+            );
+        }
+        Ok(())
+    }
+
+    fn check_page(&self, page: &Page, handler: &Known) -> Result<(), Wrong> {
+        let names = || self.dependencies.iter().map(|d| d.name.as_str());
+        let known = |at: &Place, name: &str| {
+            self.dependencies.iter().find(|d| d.name == name).ok_or_else(|| Wrong {
+                at: at.clone(),
+                what: format!("dependency {name:?} is not declared{}", nearest(name, names())),
+            })
+        };
+        for (place, part) in page.parts.iter().enumerate() {
+            if page.parts[..place].iter().any(|p| p.name == part.name) {
+                return wrong(&part.at, format!("part {:?} is in the page twice: expected once", part.name));
+            }
+            let mut time = Time(known(&part.at, &part.dependency)?.budget);
+            let mut asked = vec![part.dependency.as_str()];
+            if part.required && !part.fallbacks.is_empty() {
+                return wrong(
+                    &part.at,
+                    format!(
+                        "part {:?} is required and has fall-backs: expected none, or required = False",
+                        part.name
+                    ),
+                );
+            }
+            for (number, (at, fallback)) in part.fallbacks.iter().enumerate() {
+                let last = number + 1 == part.fallbacks.len();
+                match fallback {
+                    Fallback::Fixed(_) | Fallback::LeaveOut if !last => {
+                        return wrong(
+                            at,
+                            format!(
+                                "part {:?}: nothing comes after this fall-back: expected it last",
+                                part.name
+                            ),
+                        );
+                    }
+                    Fallback::Other(name) if asked.contains(&name.as_str()) => {
+                        return wrong(
+                            at,
+                            format!(
+                                "part {:?} falls back on {name:?}, which it has asked already",
+                                part.name
+                            ),
+                        );
+                    }
+                    Fallback::Other(name) => {
+                        time += Time(known(at, name)?.budget);
+                        asked.push(name);
+                    }
+                    _ => {}
+                }
+            }
+            if time + RESERVE > handler.response_target {
+                return wrong(&part.at, format!(
+                    "part {:?}: its budgets ({}) take {}, and {} are kept back: expected no more than the response \
+                     target of {:?}, {}",
+                    part.name, asked.join(", "), in_words(time), in_words(RESERVE), handler.name,
+                    in_words(handler.response_target)
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// The plan of a script that was checked; `handlers` in their order. With it, the page of each handler.
+    pub fn plan(&self, handlers: &[Known]) -> (depend::Plan, Vec<Option<usize>>) {
+        let place = |name: &str| self.dependencies.iter().position(|d| d.name == name).unwrap_or_default();
+        let dependencies = self.dependencies.iter().map(|d| {
+            let share = self.share(d).max(1) as usize;
+            Rc::new(depend::Dependency {
+                name: d.name.as_str().into(),
+                addr: d.addr,
+                path: d.path.as_str().into(),
+                json: d.json,
+                budget: Time(d.budget),
+                share,
+                floor: (d.floor as usize).min(share),
+                linger: Time(d.linger),
+                waiting: d.waiting.map_or(share, |n| n as usize),
+                retries: d.retries,
+                hedge: d.hedge,
+            })
+        });
+        let fallback = |f: &Fallback, json: bool| match f {
+            Fallback::Kept(most) => depend::Fallback::Kept(Time(*most)),
+            Fallback::Other(name) => depend::Fallback::Other(place(name)),
+            Fallback::Fixed(value) => {
+                let text = value.as_str().filter(|_| !json).map_or_else(|| value.to_string(), String::from);
+                depend::Fallback::Fixed(text.into_bytes().into())
+            }
+            Fallback::LeaveOut => depend::Fallback::LeaveOut,
+        };
+        let part = |p: &Part| depend::Part {
+            name: p.name.as_str().into(),
+            dependency: place(&p.dependency),
+            required: p.required,
+            fallbacks: {
+                let json = self.dependencies.iter().any(|d| d.name == p.dependency && d.json);
+                p.fallbacks.iter().map(|(_, f)| fallback(f, json)).collect()
+            },
+        };
+        let pages = self.pages.iter().map(|p| depend::Page { parts: p.parts.iter().map(part).collect() });
+        let plan = depend::Plan {
+            dependencies: dependencies.collect(),
+            pages: pages.collect(),
+            kept_bytes: (self.kept_mb * (1 << 20) as f64) as usize,
+            defences: self.defences(),
+        };
+        let of = |h: &Known| self.pages.iter().position(|p| p.handler == h.name);
+        (plan, handlers.iter().map(of).collect())
+    }
+
+    /// What is in force, for people: each page's parts, their budgets and fall-backs, and the longest answer time.
+    pub fn summary(&self, handlers: &[Known]) -> String {
+        let mut text = String::new();
+        let mut line = |words: String| text += &(words + "\n");
+        let (plan, _) = self.plan(handlers);
+        for (d, spec) in self.dependencies.iter().zip(&plan.dependencies) {
+            let hedge = d.hedge.map_or("no hedging".into(), |q| format!("hedged after the {q} quantile"));
+            line(format!(
+                "dependency {}: {} {}, budget {}, {} to {} calls here of {} in all, {} may wait, extra calls at most \
+                 {} of first ones, {hedge}",
+                d.name, d.addr, d.path, in_words(Time(d.budget)), d.floor, spec.share, d.ceiling, spec.waiting, d.retries
+            ));
+        }
+        for (page, planned) in self.pages.iter().zip(&plan.pages) {
+            let target =
+                handlers.iter().find(|h| h.name == page.handler).map_or(Time(0), |h| h.response_target);
+            let worst = planned.parts.iter().map(|p| plan.worst_case(p)).max().unwrap_or_default() + RESERVE;
+            line(format!(
+                "page {}: answered within {} of its response target of {}",
+                page.handler,
+                in_words(worst),
+                in_words(target)
+            ));
+            for part in &page.parts {
+                let fallbacks = part.fallbacks.iter().map(|(_, f)| match f {
+                    Fallback::Kept(most) => format!("kept, up to {} old", in_words(Time(*most))),
+                    Fallback::Other(name) => format!("from {name}"),
+                    Fallback::Fixed(_) => "a fixed value".to_string(),
+                    Fallback::LeaveOut => "left out".to_string(),
+                });
+                let fallbacks = fallbacks.collect::<Vec<_>>().join(", then ");
+                let without = if part.required { "the answer is errored" } else { "left out" };
+                let without = if fallbacks.is_empty() { without } else { &fallbacks };
+                line(format!("  part {}: from {}; else {without}", part.name, part.dependency));
+            }
+        }
+        if !self.off.is_empty() {
+            line(format!("switched off: {}", self.off.join(", ")));
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/operator/src/typed.rs
@@ -0,0 +1,354 @@
+//! The values that a script's declarations stand for. Spans are in tenths of a millisecond, as everywhere in the
+//! project; each value carries the place where it was declared.
+use crate::args::{shown, Args};
+use crate::script::Declared;
+use crate::{Place, Wrong};
+use cottondyke_decide::types::{Kind, Time};
+use serde::{Deserialize, Serialize};
+use serde_json::Value as Json;
+use std::net::SocketAddr;
+
+const MS: i64 = 10;
+pub const MOST_DEPENDENCIES: usize = 64;
+pub const MOST_PARTS: usize = 32;
+pub const MOST_FALLBACKS: usize = 8;
+/// Bytes of one fixed value.
+pub const MOST_FIXED: usize = 65_536;
+
+/// How the program serves without a configuration of the platform's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Serve {
+    pub at: Place,
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Reqs that run beside each other.
+    pub at_once: u64,
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: u64,
+    /// From the notice to leave to the end.
+    pub stop: i64,
+    /// The longest time after which a shed asks to come back.
+    pub pause: i64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Effect {
+    Replayable,
+    Uniqued,
+    NonReplayable,
+}
+
+impl Effect {
+    pub fn kind(self) -> Kind {
+        match self {
+            Effect::Replayable => Kind::Replayable,
+            Effect::Uniqued => Kind::Uniqued,
+            Effect::NonReplayable => Kind::NonReplayable,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Handler {
+    pub at: Place,
+    pub name: String,
+    pub effect: Effect,
+    pub response_target: i64,
+    pub client_timeout: i64,
+    pub value: f64,
+    /// The part of the value left after the response target.
+    pub late_value: f64,
+    /// How long a uniqued req may come back.
+    pub window: i64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Customer {
+    pub at: Place,
+    pub name: String,
+    /// Reqs a second inside its share, over the fleet.
+    pub per_second: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Dependency {
+    pub at: Place,
+    pub name: String,
+    pub addr: SocketAddr,
+    pub path: String,
+    pub json: bool,
+    pub budget: i64,
+    /// Calls that it survives, from all instances together.
+    pub ceiling: u64,
+    pub floor: u64,
+    pub linger: i64,
+    pub waiting: Option<u64>,
+    pub retries: f64,
+    pub hedge: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Fallback {
+    /// The greatest age.
+    Kept(i64),
+    Other(String),
+    /// Any value; as JSON where the dependency's replies are, else a text as it stands.
+    Fixed(Json),
+    LeaveOut,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    pub at: Place,
+    pub name: String,
+    pub dependency: String,
+    pub required: bool,
+    pub fallbacks: Vec<(Place, Fallback)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    pub at: Place,
+    pub handler: String,
+    pub parts: Vec<Part>,
+}
+
+/// What the operator's file says.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Operator {
+    pub file: String,
+    pub serve: Option<Serve>,
+    /// Instances that may run at one time.
+    pub instances: Option<u64>,
+    /// Megabytes for kept answers.
+    pub kept_mb: f64,
+    pub handlers: Vec<Handler>,
+    pub customers: Vec<Customer>,
+    pub dependencies: Vec<Dependency>,
+    pub pages: Vec<Page>,
+    /// Defences that are switched off, for trials.
+    pub off: Vec<String>,
+}
+
+pub const DEFENCES: [&str; 7] = ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback"];
+
+fn address(args: &mut Args, name: &'static str) -> Result<SocketAddr, Wrong> {
+    const WHAT: &str = "an IP address with a port such as \"127.0.0.1:8080\"";
+    let text = args.text(name, WHAT)?;
+    text.parse().map_err(|_| args.expected(name, &Json::String(text), WHAT))
+}
+
+fn serve(mut args: Args) -> Result<Serve, Wrong> {
+    let serve = Serve {
+        name: args.maybe("name").map_or(Ok("cottondyke".to_string()), |value| {
+            let text = value.as_str().filter(|t| !t.is_empty() && t.len() <= 64);
+            let plain = text.filter(|t| t.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)));
+            plain
+                .map(String::from)
+                .ok_or_else(|| args.expected("name", &value, "letters, digits, dots and dashes"))
+        })?,
+        listen: address(&mut args, "listen")?,
+        at_once: args.whole("at_once", 1, 65_536, Some(64))?,
+        memory_mb: args.whole("memory_mb", 16, 1 << 20, Some(64))?,
+        sockets: args.whole("sockets", 128, 1 << 20, Some(1_024))?,
+        stop: args.duration("stop", Some(Time(3_000 * MS)))?.0,
+        pause: args.duration("longest_pause", Some(Time(1_000 * MS)))?.0,
+        seed: args.whole("seed", 0, u64::MAX, Some(1))?,
+        at: args.at.clone(),
+    };
+    args.finish().map(|()| serve)
+}
+
+fn handler(mut args: Args) -> Result<Handler, Wrong> {
+    let name = args.name("name")?;
+    let kinds = ["replayable", "uniqued", "non-replayable"];
+    let effect = match args.one_of("effect", &kinds, None)?.as_str() {
+        "replayable" => Effect::Replayable,
+        "uniqued" => Effect::Uniqued,
+        _ => Effect::NonReplayable,
+    };
+    let response_target = args.duration("response_target", None)?;
+    let client_timeout = args.duration("client_timeout", None)?;
+    if client_timeout < response_target {
+        return Err(args.wrong(format!(
+            "client_timeout is {}: expected no less than the response target of {}",
+            in_words(client_timeout),
+            in_words(response_target)
+        )));
+    }
+    let handler = Handler {
+        name,
+        effect,
+        response_target: response_target.0,
+        client_timeout: client_timeout.0,
+        value: args.number("value", 0.0, 1e9, Some(1.0))?,
+        late_value: args.number("late_value", 0.0, 1.0, Some(0.2))?,
+        window: args.duration("window", Some(client_timeout))?.0,
+        at: args.at.clone(),
+    };
+    args.finish().map(|()| handler)
+}
+
+fn customer(mut args: Args) -> Result<Customer, Wrong> {
+    let name = args.name("name")?;
+    let per_second = args.number("per_second", 0.0, 1e9, None)?;
+    let at = args.at.clone();
+    args.finish().map(|()| Customer { at, name, per_second })
+}
+
+fn dependency(mut args: Args) -> Result<Dependency, Wrong> {
+    let name = args.name("name")?;
+    let addr = address(&mut args, "addr")?;
+    let path = args.maybe("path").unwrap_or(Json::String("/".into()));
+    const PATH: &str = "a path that starts with a slash, of printable ASCII without spaces";
+    let plain = |t: &&str| t.starts_with('/') && t.len() <= 512 && t.bytes().all(|b| b.is_ascii_graphic());
+    let path = path.as_str().filter(plain).ok_or_else(|| args.expected("path", &path, PATH))?.to_string();
+    let ceiling = args.whole("ceiling", 1, 1 << 20, None)?;
+    let linger = args.duration("linger", Some(Time(1_000 * MS)))?;
+    let waiting = match args.maybe("waiting") {
+        None => None,
+        Some(value) => {
+            let whole = value.as_u64().filter(|n| *n <= 4_096);
+            Some(whole.ok_or_else(|| args.expected("waiting", &value, "a whole number from 0 to 4096"))?)
+        }
+    };
+    let hedge = match args.maybe("hedge") {
+        None => None,
+        Some(value) => {
+            let quantile = value.as_f64().filter(|q| (0.5..=0.999).contains(q));
+            const WHAT: &str = "None or a quantile of its latency from 0.5 to 0.999";
+            Some(quantile.ok_or_else(|| args.expected("hedge", &value, WHAT))?)
+        }
+    };
+    let dependency = Dependency {
+        name,
+        addr,
+        path,
+        json: args.one_of("replies", &["json", "text"], Some("text"))? == "json",
+        budget: args.duration("budget", None)?.0,
+        ceiling,
+        floor: args.whole("floor", 1, 1 << 20, Some(1))?,
+        linger: linger.0,
+        waiting,
+        retries: args.number("retries", 0.0, 1.0, Some(0.1))?,
+        hedge,
+        at: args.at.clone(),
+    };
+    args.finish().map(|()| dependency)
+}
+
+fn fallback(whose: &Args, value: &Json) -> Result<(Place, Fallback), Wrong> {
+    let what = "kept(age), other(dependency), fixed(value) or leave_out()";
+    let first: &[&'static str] = match value.get(crate::script::MADE).and_then(Json::as_str) {
+        Some("kept") => &["most"],
+        Some("other") => &["dependency"],
+        Some("fixed") => &["value"],
+        Some("part") => &["name"],
+        _ => &[],
+    };
+    let made = Args::made(value, first).ok_or_else(|| whose.expected("fallbacks", value, what))?;
+    let mut args = made?;
+    let fallback = match args.function.as_str() {
+        "kept" => Fallback::Kept(args.duration("most", None)?.0),
+        "other" => Fallback::Other(args.name("dependency")?),
+        "fixed" => {
+            let value = args.value("value", "any value")?;
+            let size = value.to_string().len();
+            if size > MOST_FIXED {
+                return Err(args.expected(
+                    "value",
+                    &Json::from(size),
+                    &format!("at most {MOST_FIXED} bytes"),
+                ));
+            }
+            Fallback::Fixed(value)
+        }
+        "leave_out" => Fallback::LeaveOut,
+        other => return Err(whose.wrong(format!("fallbacks holds {other}(): expected {what}"))),
+    };
+    let at = args.at.clone();
+    args.finish().map(|()| (at, fallback))
+}
+
+fn part(page: &Args, value: &Json) -> Result<Part, Wrong> {
+    let made = value.get(crate::script::MADE).and_then(Json::as_str);
+    let made = made.filter(|function| *function == "part").and_then(|_| Args::made(value, &["name"]));
+    let mut args = made.ok_or_else(|| page.expected("parts", value, "part(name, ...)"))??;
+    let name = args.name("name")?;
+    let dependency = match args.maybe("dependency") {
+        None => name.clone(),
+        Some(Json::String(text)) => text,
+        Some(value) => return Err(args.expected("dependency", &value, "the name of a dependency")),
+    };
+    let required = args.flag("required", false)?;
+    let list = args.list("fallbacks", "a list")?;
+    if list.len() > MOST_FALLBACKS {
+        return Err(args.wrong(format!("{} fall-backs: expected at most {MOST_FALLBACKS}", list.len())));
+    }
+    let fallbacks = list.iter().map(|value| fallback(&args, value)).collect::<Result<_, _>>()?;
+    let at = args.at.clone();
+    args.finish().map(|()| Part { at, name, dependency, required, fallbacks })
+}
+
+fn page(mut args: Args) -> Result<Page, Wrong> {
+    let handler = args.name("handler")?;
+    let list = args.list("parts", "a list of part(name, ...)")?;
+    if list.is_empty() || list.len() > MOST_PARTS {
+        return Err(args.wrong(format!("parts holds {}: expected 1 to {MOST_PARTS}", list.len())));
+    }
+    let parts = list.iter().map(|value| part(&args, value)).collect::<Result<_, _>>()?;
+    let at = args.at.clone();
+    args.finish().map(|()| Page { at, handler, parts })
+}
+
+pub fn in_words(time: Time) -> String {
+    let ms = time.0 as f64 / MS as f64;
+    if ms >= 1_000.0 {
+        format!("{} s", ms / 1_000.0)
+    } else {
+        format!("{ms} ms")
+    }
+}
+
+pub fn operator(file: &str, declared: Vec<Declared>) -> Result<Operator, Wrong> {
+    let mut all = Operator { file: file.to_string(), kept_mb: 4.0, ..Operator::default() };
+    let mut fleet = false;
+    for one in declared {
+        let first: &[&'static str] = match one.function.as_str() {
+            "handler" | "customer" | "dependency" => &["name"],
+            "page" => &["handler"],
+            _ => &[],
+        };
+        let function = one.function.clone();
+        let mut args = Args::new(one, first)?;
+        match function.as_str() {
+            "serve" if all.serve.is_some() => return Err(args.wrong("declared twice: expected once")),
+            "serve" => all.serve = Some(serve(args)?),
+            "fleet" if fleet => return Err(args.wrong("declared twice: expected once")),
+            "fleet" => {
+                fleet = true;
+                all.instances = Some(args.whole("instances", 1, 100_000, None)?);
+                all.kept_mb = args.number("kept_mb", 0.0, 65_536.0, Some(4.0))?;
+                args.finish()?;
+            }
+            "handler" => all.handlers.push(handler(args)?),
+            "customer" => all.customers.push(customer(args)?),
+            "dependency" => all.dependencies.push(dependency(args)?),
+            "page" => all.pages.push(page(args)?),
+            "defences" => {
+                for value in args.list("off", "a list of names")? {
+                    let name = value.as_str().filter(|name| DEFENCES.contains(name));
+                    let near = crate::args::nearest(value.as_str().unwrap_or_default(), DEFENCES.into_iter());
+                    let what = format!("any of {}{near}", DEFENCES.join(", "));
+                    let wrong = || args.wrong(format!("off holds {}: expected {what}", shown(&value)));
+                    all.off.push(name.ok_or_else(wrong)?.to_string());
+                }
+                args.finish()?;
+            }
+            _ => return Err(args.wrong("expected a declaration")),
+        }
+    }
+    Ok(all)
+}
