--- /dev/null
+++ b/crates/server/src/client.rs
@@ -0,0 +1,106 @@
+//! The one HTTP/1.1 client: calls to the records service, each on a connection of its own, and calls to
+//! dependencies, on pooled ones. A connection is used again only after a reply that ended where it said, with
+//! nothing behind it; one that has been forgotten or written to meanwhile is found out before it is used.
+use crate::wire::http::{self, Decoder};
+use async_io::Async;
+use cottondyke_decide::types::CallEnd;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const READ: usize = 4_096;
+/// A connection unused for this long is closed: most services keep theirs a little longer.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Why a call brought no result, told by how far it had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    NotBegun(&'static str),
+    /// It may go on.
+    MaybeBegun(&'static str),
+    /// It was begun, and goes on no longer.
+    Ended(&'static str),
+}
+
+impl CallError {
+    pub fn end(self) -> CallEnd {
+        match self {
+            CallError::NotBegun(_) => CallEnd::NeverRan,
+            CallError::MaybeBegun(_) => CallEnd::Unknown,
+            CallError::Ended(_) => CallEnd::Spoilt,
+        }
+    }
+}
+
+pub type Stream = Async<TcpStream>;
+
+pub async fn connect(addr: SocketAddr) -> Result<Stream, CallError> {
+    let stream = Stream::connect(addr).await.map_err(|_| CallError::NotBegun("no connection"))?;
+    let _ = stream.get_ref().set_nodelay(true);
+    Ok(stream)
+}
+
+/// One request and its reply. `sending` is set before the first byte goes out, `heard` with the first that comes
+/// back. With the reply, whether the connection may be used again.
+pub async fn exchange(
+    stream: &mut Stream, request: &[u8], sending: &Cell<bool>, heard: &Cell<bool>,
+) -> Result<(http::Reply, bool), CallError> {
+    sending.set(true);
+    stream.write_all(request).await.map_err(|_| CallError::MaybeBegun("broke while it was sent"))?;
+    let mut decoder = Decoder::default();
+    let mut bytes = [0; READ];
+    loop {
+        let count = stream.read(&mut bytes).await.map_err(|_| CallError::Ended("broke before its reply"))?;
+        if count == 0 {
+            return Err(CallError::Ended("closed before its reply"));
+        }
+        heard.set(true);
+        decoder.feed(&bytes[..count]);
+        let malformed = |_| CallError::Ended("a malformed reply");
+        if let Some(reply) = decoder.reply().map_err(malformed)? {
+            let again = !reply.close && decoder.is_empty();
+            return Ok((reply, again));
+        }
+    }
+}
+
+/// Connections that are not in use, by address; those used last are used first.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<BTreeMap<SocketAddr, Vec<(Stream, Instant)>>>,
+}
+
+impl Pool {
+    /// A connection on which nothing has come, not even its end.
+    pub fn take(&self, addr: SocketAddr) -> Option<Stream> {
+        let mut idle = self.idle.borrow_mut();
+        let of = idle.get_mut(&addr)?;
+        while let Some((stream, since)) = of.pop() {
+            let quiet = stream.get_ref().peek(&mut [0]);
+            if since.elapsed() < IDLE && quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection, of which `most` may lie idle.
+    pub fn give(&self, addr: SocketAddr, stream: Stream, most: usize) {
+        let mut idle = self.idle.borrow_mut();
+        let of = idle.entry(addr).or_default();
+        if of.len() < most {
+            of.push((stream, Instant::now()));
+        }
+    }
+
+    /// Closes what has lain idle for too long.
+    pub fn trim(&self) {
+        self.idle.borrow_mut().retain(|_, of| {
+            of.retain(|(_, since)| since.elapsed() < IDLE);
+            !of.is_empty()
+        });
+    }
+}
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -2,21 +2,39 @@
 use crate::time::span_of_ms;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::{Kind, Time};
+use cottondyke_operator::{Effect, Known, Operator};
 use cottondyke_settings::{self as settings, Places, Wrong};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Descriptors kept for engine, calls, control plane, listener, timers and log.
 const KEPT_BACK: u64 = 96;
 
+/// Reqs that run at the most, as a multiple of those that run at once when all is well.
+const OVERLOAD: f64 = 4.0;
+
+/// What of the connections is left to callers beside those to dependencies.
+fn room(connections: usize, operator: &Operator) -> Result<usize, Wrong> {
+    let shares: u64 = operator.dependencies.iter().map(|d| operator.share(d)).sum();
+    let left = (connections as u64).checked_sub(shares).filter(|n| *n > 0);
+    left.map(|n| n as usize).ok_or(format!(
+        "{}: the dependencies may take {shares} connections, which leaves none of {connections} for callers: \
+         expected more sockets or lower ceilings",
+        operator.file
+    ))
+}
+
 #[derive(Clone, Debug)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub engine: SocketAddr,
-    pub control: SocketAddr,
-    pub records: SocketAddr,
+    /// None of these where the operator's file stands alone.
+    pub engine: Option<SocketAddr>,
+    pub control: Option<SocketAddr>,
+    pub records: Option<SocketAddr>,
+    /// The operator's file, checked against the handlers.
+    pub operator: Option<Operator>,
     pub seed: u64,
     /// From the notice to leave to the end.
     pub stop: Duration,
@@ -64,9 +82,10 @@
         let config = Config {
             name: settings::text(&all, "name")?.to_string(),
             listen: address("listen")?,
-            engine: address("engine")?,
-            control: address("control")?,
-            records: address("records")?,
+            engine: Some(address("engine")?),
+            control: Some(address("control")?),
+            records: Some(address("records")?),
+            operator: None,
             seed: u64::from_str_radix(seed, 16).map_err(|_| "seed is not a hexadecimal number")?,
             stop: Duration::from_millis(settings::whole(&all, "stop_ms")?),
             connections: connections.ok_or(format!("limits: sockets must be over {KEPT_BACK}"))? as usize,
@@ -87,17 +106,115 @@
         config.decider(Time(0)).map(|_| config)
     }
 
+    /// The handlers, as the operator's file is checked against them.
+    pub fn known(&self) -> Vec<Known> {
+        let handlers = self.places.handlers.iter().zip(&self.times);
+        let known = |(name, (target, _)): (&String, &(Time, Time))| Known {
+            name: name.clone(),
+            response_target: *target,
+        };
+        handlers.map(known).collect()
+    }
+
+    /// The platform's configuration with the operator's file beside it.
+    pub fn with(mut self, operator: Operator) -> Result<Self, Wrong> {
+        let both = |at: &cottondyke_operator::Place, what: &str| {
+            Err(format!(
+                "{}:{}: {what}: the configuration tells that already; expected it in one of the two",
+                at.file, at.line
+            ))
+        };
+        if let Some(serve) = &operator.serve {
+            return both(&serve.at, "serve(...)");
+        }
+        if let Some(handler) = operator.handlers.first() {
+            return both(&handler.at, "handler(...)");
+        }
+        if let Some(customer) = operator.customers.first() {
+            return both(&customer.at, "customer(...)");
+        }
+        operator.check(&self.known()).map_err(|wrong| wrong.to_string())?;
+        self.connections = room(self.connections, &operator)?;
+        self.operator = Some(operator);
+        Ok(self)
+    }
+
+    /// A program that serves on its own: all is told by the operator's file.
+    pub fn alone(operator: Operator) -> Result<Self, Wrong> {
+        operator.check_alone().map_err(|wrong| wrong.to_string())?;
+        let serve = operator.serve.clone().ok_or("serve(...) is missing")?;
+        let ms = |tenths: i64| tenths as f64 / 10.0;
+        let classes = operator.handlers.iter().map(|h| {
+            let effect = match h.effect {
+                Effect::Replayable => "repeatable",
+                Effect::Uniqued => "by_key",
+                Effect::NonReplayable => "once",
+            };
+            json!({
+                "name": h.name, "effect": effect, "credit": h.value, "late_value": h.late_value,
+                "aim_ms": ms(h.response_target), "deadline_ms": ms(h.client_timeout), "dedup_window_ms": ms(h.window),
+            })
+        });
+        let customers = operator.customers.iter();
+        let customers = customers.map(|c| json!({ "name": c.name, "quota_per_s": c.per_second }));
+        // Reqs that run are the cores of the decider here: they wait for dependencies, not for each other.
+        let settings = json!({
+            "blend": { "whole": 1.0 },
+            "classes": classes.collect::<Vec<_>>(),
+            "customers": customers.collect::<Vec<_>>(),
+            "family_info": {
+                "advert": "none", "below": "none", "blowup": 2.0, "calls_over_ms": 1_000.0, "cold": false,
+                "fresh_ms": 0.0, "heeded_ms": 1_000.0, "idle_ms": 60_000.0, "kb_per_key": 1.0, "linger_ms": 0.0,
+                "mem_limit_kb": serve.memory_mb as f64 * 512.0, "n_cores": serve.at_once, "own_stats": [],
+                "preemption": "drop", "upstreams": 1.0,
+            },
+            "group_size": operator.instances.unwrap_or(1),
+            "obligations": {
+                "drain_grace_ms": ms(serve.stop) / 2.0, "overload_factor": OVERLOAD, "start_capacity": 1.0,
+                "warm_within_ms": 1_000.0,
+            },
+            "over_share_worth": 0.1,
+            "policy_limits": { "max_retry_after_ms": ms(serve.pause), "retry_after": true },
+            "resolution_ms": 1.0,
+            "worth_by": "request",
+        });
+        let listen = serve.listen.to_string();
+        let conf = json!({
+            "name": serve.name, "listen": listen, "engine": listen, "control": listen, "records": listen,
+            "seed": format!("{:x}", serve.seed), "stop_ms": (serve.stop / 10).max(1),
+            "limits": { "memory_mb": serve.memory_mb, "sockets": serve.sockets }, "settings": settings,
+        });
+        let mut config =
+            Self::parse(&conf.to_string()).map_err(|wrong| format!("{}: {wrong}", operator.file))?;
+        config.connections = room(config.connections, &operator)?;
+        (config.engine, config.control, config.records) = (None, None, None);
+        config.operator = Some(operator);
+        Ok(config)
+    }
+
     /// What is in force once `new` was read while the server runs, and what of it cannot be obeyed: what was
-    /// learned belongs to the settings, what is connected to the address.
-    pub fn renewed(&self, new: Config) -> (Config, Vec<&'static str>) {
+    /// learned belongs to the settings, what is connected to the address. An operator's file is obeyed whole or
+    /// not at all: an error where it cannot be.
+    pub fn renewed(&self, new: Config) -> Result<(Config, Vec<&'static str>), Wrong> {
         let told = [
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
             ("settings", new.settings != self.settings),
         ];
-        let in_vain = told.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what).collect();
-        let Config { engine, control, records, stop, connections, memory, .. } = new;
-        (Config { engine, control, records, stop, connections, memory, ..self.clone() }, in_vain)
+        let in_vain: Vec<_> =
+            told.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what).collect();
+        if let Some(operator) = &new.operator {
+            if operator.serve.is_some() && !in_vain.is_empty() {
+                let file = &operator.file;
+                return Err(format!(
+                    "{file}: serve, handler and customer cannot change while the server runs"
+                ));
+            }
+            operator.check(&self.known()).map_err(|wrong| wrong.to_string())?;
+        }
+        let Config { engine, control, records, operator, stop, connections, memory, .. } = new;
+        let new = Config { engine, control, records, operator, stop, connections, memory, ..self.clone() };
+        Ok((new, in_vain))
     }
 
     /// Settings that no server can have.
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -3,6 +3,7 @@
 //! It never waits on a socket.
 use crate::answer::Outlets;
 use crate::config::Config;
+use crate::cpu;
 use crate::drain::{self, Stage};
 use crate::health::Health;
 use crate::input::{ConnId, Input, Lines};
@@ -30,6 +31,8 @@
 const FORGOTTEN: f64 = 4.0;
 /// A wake goes to the decider without gauges when none come within this time.
 const GAUGES_WITHIN: Time = Time(100);
+/// Part of the time from the notice to leave to the end in which pages are composed whole.
+const PAGES_PART: f64 = 0.9;
 const CHORES: Time = Time(500);
 const CHORES_LEAVING: Time = Time(50);
 const TALLY: Time = SECOND;
@@ -95,6 +98,9 @@
     asked: Option<Time>,
     /// Joined reqs whose answer is known, told to the decider once its results are carried out.
     joined: VecDeque<(ReqId, RunEnd)>,
+    /// What kinds of work told while results were carried out, taken after them.
+    events: VecDeque<Event>,
+    cpu: cpu::Gauge,
     next_chores: Time,
     tally: Tally,
     next_tally: Time,
@@ -110,8 +116,15 @@
     ) -> Self {
         let now = clock.now();
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
-        let engine = work::engine::Runs::new(now, config.records, config.places.busy, executor, inputs);
-        let works = Works::new(engine, classes, config.kinds.clone());
+        let busy = config.places.busy;
+        let engine = config
+            .records
+            .map(|records| work::engine::Runs::new(now, records, busy, executor.clone(), inputs.clone()));
+        let pages = config.operator.as_ref().map(|operator| {
+            let (plan, by_handler) = operator.plan(&config.known());
+            work::pages::Runs::new(now, plan, by_handler, config.seed, executor, inputs)
+        });
+        let works = Works::new(engine, pages, classes, config.kinds.clone());
         Desk {
             config,
             clock,
@@ -131,6 +144,8 @@
             wakes: BTreeSet::new(),
             asked: None,
             joined: VecDeque::new(),
+            events: VecDeque::new(),
+            cpu: cpu::Gauge::start(),
             next_chores: clock.now(),
             tally: Tally::default(),
             next_tally: clock.now(),
@@ -141,6 +156,10 @@
 
     /// Takes inputs until the server has left.
     pub async fn run(mut self, inputs: Receiver<Input>) {
+        // An engine's hello is what starts the decider; without one, nothing is waited for.
+        if self.works.engine.is_none() {
+            self.wake(self.clock.now(), Gauges::default());
+        }
         while !self.timers() {
             let mut timer = Timer::at(self.clock.instant(self.next_timer()));
             let due = async {
@@ -161,7 +180,10 @@
 
     fn next_timer(&self) -> Time {
         let wake = self.wakes.first().copied();
-        [self.asked, wake, self.health.next()].into_iter().flatten().fold(self.next_chores, Time::min)
+        [self.asked, wake, self.health.next(), self.works.next()]
+            .into_iter()
+            .flatten()
+            .fold(self.next_chores, Time::min)
     }
 
     /// Does what is due by the clock; true once the server has left.
@@ -172,28 +194,40 @@
         }
         if self.asked.is_some_and(|until| until <= now) {
             self.asked = None;
-            self.works.engine.no_gauges();
+            if let Some(engine) = &mut self.works.engine {
+                engine.no_gauges();
+            }
             self.wake(now, Gauges::default());
         }
         let waiting = self.wakes.len();
         self.wakes.retain(|at| *at > now);
         if self.wakes.len() < waiting && self.asked.is_none() {
-            if self.works.engine.ask_gauges() {
-                self.asked = Some(now + GAUGES_WITHIN);
-            } else {
-                self.wake(now, Gauges::default());
+            let asked = self.works.engine.as_mut().map(work::engine::Runs::ask_gauges);
+            match asked {
+                Some(true) => self.asked = Some(now + GAUGES_WITHIN),
+                Some(false) => self.wake(now, Gauges::default()),
+                None => {
+                    let busy = self.cpu.read();
+                    self.wake(now, Gauges { busy });
+                }
             }
         }
+        for event in self.works.timer(now) {
+            self.worked(now, event);
+        }
         if now < self.next_chores {
             return false;
         }
         self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.outlets.chores(now);
         self.make_room(now);
-        self.works.engine.chores(now);
+        if let Some(engine) = &mut self.works.engine {
+            engine.chores(now);
+        }
         if now >= self.next_tally {
             self.next_tally = now + TALLY;
-            std::mem::take(&mut self.tally).log(std::mem::take(&mut self.works.engine.tally));
+            let calls = self.works.tally(now);
+            std::mem::take(&mut self.tally).log(calls);
         }
         self.forget_runs(now);
         self.keys.expire(now);
@@ -255,18 +289,24 @@
                 self.gone(now, conn);
             }
             Input::EngineUp { age_ms, outlet } => self.engine_up(now, age_ms, outlet),
-            Input::EngineDown(unsent) => self.works.engine.down(now, unsent),
-            Input::Notice(notice) => {
-                for event in self.works.engine.noticed(notice) {
-                    self.worked(now, event);
+            Input::EngineDown(unsent) => {
+                if let Some(engine) = &mut self.works.engine {
+                    engine.down(now, unsent);
                 }
             }
+            Input::Notice(notice) => {
+                let told = self.works.engine.as_mut().map(|engine| engine.noticed(notice));
+                told.into_iter().flatten().for_each(|event| self.worked(now, event));
+            }
             Input::Called(id, no, result) => {
-                if let Some(event) = self.works.engine.called(now, id, no, result) {
-                    self.worked(now, event);
-                }
+                let told = self.works.engine.as_mut().and_then(|engine| engine.called(now, id, no, result));
+                told.into_iter().for_each(|event| self.worked(now, event));
+            }
+            Input::Fetched(call, outcome) => {
+                let told = self.works.pages.as_mut().map(|pages| pages.fetched(now, call, outcome));
+                told.into_iter().flatten().for_each(|event| self.worked(now, event));
             }
-            Input::Reload(Ok(new)) => self.reload(*new),
+            Input::Reload(Ok(new)) => self.reload(now, *new),
             Input::Reload(Err(wrong)) => {
                 tracing::error!(wrong, "the configuration read anew is no good; the old one stays in force");
             }
@@ -276,14 +316,21 @@
                 self.notice = Some(now);
                 let results = self.decider.leaving(now, self.left());
                 self.carry_all(now, results);
+                self.works.leaving(now + self.left().times(PAGES_PART));
                 self.outlets.no_more(now);
             }
         }
     }
 
     /// Addresses and limits follow the new configuration; nothing that was learned or is open is lost.
-    fn reload(&mut self, new: Config) {
-        let (mut config, in_vain) = self.config.renewed(new);
+    fn reload(&mut self, now: Time, new: Config) {
+        let (mut config, in_vain) = match self.config.renewed(new) {
+            Ok(renewed) => renewed,
+            Err(wrong) => {
+                tracing::error!(wrong, "what was read anew cannot be obeyed; the old files stay in force");
+                return;
+            }
+        };
         if !in_vain.is_empty() {
             tracing::warn!(?in_vain, "cannot change while the server runs; what was in force stays");
         }
@@ -291,25 +338,38 @@
             config.stop = self.config.stop;
         }
         if config.engine != self.config.engine {
-            let _ = self.moves.try_send(config.engine);
+            config.engine.map(|engine| self.moves.try_send(engine));
         }
         if config.control != self.config.control {
-            let _ = self.news.try_send(News::Moved(config.control));
+            config.control.map(|control| self.news.try_send(News::Moved(control)));
+        }
+        if let (Some(engine), Some(records)) = (&mut self.works.engine, config.records) {
+            engine.moved(records);
         }
-        self.works.engine.moved(config.records);
         self.room.told(&config);
+        let shown = |addr: Option<SocketAddr>| addr.map_or("none".to_string(), |a| a.to_string());
         tracing::info!(
-            engine = %config.engine, records = %config.records, control = %config.control,
+            engine = shown(config.engine),
+            records = shown(config.records),
+            control = shown(config.control),
+            pages = config.operator.as_ref().map_or(0, |o| o.pages.len()),
             "the configuration was read anew"
         );
         self.config = Rc::new(config);
+        if let (Some(pages), Some(operator)) = (&mut self.works.pages, &self.config.operator) {
+            let (plan, by_handler) = operator.plan(&self.config.known());
+            for event in pages.install(now, plan, by_handler) {
+                self.worked(now, event);
+            }
+        }
     }
 
     /// The first hello tells when the engine started. The decider reckons from there, but not from before this
     /// program could observe anything. Nothing has run by then: what is open arrives anew.
     fn engine_up(&mut self, now: Time, age_ms: f64, outlet: Sender<Command>) {
-        let first = !self.works.engine.greeted();
-        self.works.engine.up(now, outlet);
+        let Some(engine) = &mut self.works.engine else { return };
+        let first = !engine.greeted();
+        engine.up(now, outlet);
         tracing::info!(first, age_ms, "the engine is there");
         if !first {
             return;
@@ -318,7 +378,7 @@
             Ok(decider) => self.decider = decider,
             Err(wrong) => tracing::error!(wrong, "the settings no longer give a decider"),
         }
-        self.works.forget_all();
+        self.works.forget_all(now);
         self.reqs.retain(|_, r| !r.answered);
         self.by_wire.retain(|_, id| self.reqs.contains_key(id));
         self.wakes.clear();
@@ -339,9 +399,9 @@
     }
 
     fn checked(&mut self, now: Time, conn: ConnId, stream: Stream, deep: bool) {
-        match self.health.answer(deep, self.works.engine.is_up()) {
+        match self.health.answer(deep, self.works.is_up()) {
             Some(good) => self.outlets.send(now, conn, &Reply::Checked { stream, good }),
-            None => match self.works.engine.test() {
+            None => match self.works.engine.as_mut().and_then(work::engine::Runs::test) {
                 Some(tag) => self.health.testing(now, tag, conn, stream),
                 None => self.outlets.send(now, conn, &Reply::Checked { stream, good: false }),
             },
@@ -419,7 +479,11 @@
                     self.outlets.prove(entry.conn);
                 }
             }
-            Event::Ended(id, end, output) => self.run_over(now, id, end, output),
+            Event::Ended(id, end, output) => {
+                if let Some(results) = self.run_over(now, id, end, output) {
+                    self.carry_all(now, results);
+                }
+            }
             Event::CallWanted(id) => {
                 let results = self.decider.call_wanted(now, id);
                 self.carry_all(now, results);
@@ -446,13 +510,15 @@
         let lost = self.reqs.iter().filter(|(_, e)| e.running && e.answered && now - e.arrived > long);
         for id in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
             tracing::warn!("a run that never ended is given up");
-            self.run_over(now, id, RunEnd::Void, Output::default());
+            if let Some(results) = self.run_over(now, id, RunEnd::Void, Output::default()) {
+                self.carry_all(now, results);
+            }
         }
     }
 
     /// A run has ended: what is still owed goes out first, then the decider hears of it.
-    fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, output: Output) {
-        let Some(entry) = self.reqs.get_mut(&id).filter(|e| e.running) else { return };
+    fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, output: Output) -> Option<Results> {
+        let entry = self.reqs.get_mut(&id).filter(|e| e.running)?;
         entry.running = false;
         self.works.forget(id);
         if end == RunEnd::Done {
@@ -466,8 +532,7 @@
             self.keys.ended(now, id, kept.clone(), self.config.fresh, self.room.results());
             self.settle_joined(now, id, kept);
         }
-        let results = self.decider.run_ended(now, id, end);
-        self.carry_all(now, results);
+        Some(self.decider.run_ended(now, id, end))
     }
 
     /// Reqs that wait for the answer of `of` get it.
@@ -512,9 +577,19 @@
 
     fn carry_all(&mut self, now: Time, results: Results) {
         self.carry(now, results);
-        while let Some((id, end)) = self.joined.pop_front() {
-            let results = self.decider.run_ended(now, id, end);
-            self.carry(now, results);
+        loop {
+            if let Some((id, end)) = self.joined.pop_front() {
+                let results = self.decider.run_ended(now, id, end);
+                self.carry(now, results);
+            } else if let Some(event) = self.events.pop_front() {
+                if let Event::Ended(id, end, output) = event {
+                    if let Some(results) = self.run_over(now, id, end, output) {
+                        self.carry(now, results);
+                    }
+                }
+            } else {
+                return;
+            }
         }
     }
 
@@ -522,7 +597,8 @@
     fn carry(&mut self, now: Time, results: Results) {
         for id in results.stop {
             if self.reqs.get(&id).is_some_and(|e| e.running) {
-                self.works.stop(id);
+                let told = self.works.stop(now, id);
+                self.events.extend(told);
             }
         }
         for id in results.fail {
@@ -554,22 +630,28 @@
             let job = Job {
                 wire: entry.wire,
                 handler: entry.new.handler,
+                customer: entry.new.customer,
                 body: entry.body.clone(),
                 target: entry.arrived + target,
                 due: entry.arrived + timeout,
             };
-            self.works.start(id, &job);
+            let told = self.works.start(now, id, &job);
+            self.events.extend(told);
         }
         for id in results.join {
             self.join(now, id);
         }
         for (id, cap) in results.call {
-            self.works.engine.call(id, cap);
+            if let Some(engine) = &mut self.works.engine {
+                engine.call(id, cap);
+            }
         }
         for id in results.skip {
-            self.works.engine.skip(now, id);
+            if let Some(engine) = &mut self.works.engine {
+                engine.skip(now, id);
+            }
         }
-        if let Some(good) = results.health.filter(|_| self.works.engine.greeted()) {
+        if let Some(good) = results.health.filter(|_| self.works.ready()) {
             if self.health.set(good) {
                 let _ = self.news.try_send(News::Health(good));
             }
--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -1,6 +1,7 @@
 //! Signals, and leaving: the notice, and when to stop listening and to end.
 use crate::config::Config;
 use crate::input::Input;
+use crate::sources::Sources;
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use cottondyke_decide::types::Time;
@@ -20,10 +21,10 @@
 
 /// Passes signals on: SIGHUP with the configuration read anew, any other as the notice to leave, of which the
 /// desk takes the first only.
-pub async fn watch(mut signals: Signals, path: String, desk: Sender<Input>) {
+pub async fn watch(mut signals: Signals, sources: Sources, desk: Sender<Input>) {
     while let Some(signal) = signals.next().await {
         let input = match signal {
-            Ok(Signal::Hup) => Input::Reload(Config::read(&path).map(Box::new)),
+            Ok(Signal::Hup) => Input::Reload(reread(&sources).await.map(Box::new)),
             Ok(_) => Input::Leave,
             Err(error) => {
                 tracing::warn!(%error, "a signal could not be read");
@@ -36,6 +37,16 @@
     }
 }
 
+/// Evaluating a script may take seconds: it is done beside the serving thread. Without a script the file is short.
+async fn reread(sources: &Sources) -> Result<Config, String> {
+    if sources.operator.is_none() {
+        return sources.read();
+    }
+    let (sources, (told, read)) = (sources.clone(), async_channel::bounded(1));
+    std::thread::spawn(move || told.try_send(sources.read()));
+    read.recv().await.unwrap_or_else(|_| Err("reading the files anew panicked".to_string()))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     Serving,
--- /dev/null
+++ b/crates/server/src/fetch.rs
@@ -0,0 +1,52 @@
+//! Calls to the dependencies of pages: what is asked, and what a reply says of the dependency.
+use crate::client::{self, CallError, Pool};
+use crate::time::ms;
+use crate::wire::{http, WireId};
+use cottondyke_decide::types::Time;
+use cottondyke_depend::{Dependency, Outcome};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Asks `to`. Dropping the future closes its connection. Nothing here limits its time: who waits does.
+pub async fn fetch(
+    pool: Rc<Pool>, to: Rc<Dependency>, of: WireId, body: Rc<[u8]>, within: Time, reuse: bool,
+) -> Outcome {
+    let mut bytes = Vec::with_capacity(256 + body.len());
+    let left = (ms(within).floor() as u64).to_string();
+    let headers = [("Req-Id", of.as_str()), ("Time-Left-Ms", left.as_str())];
+    http::request("POST", &to.path, &to.addr.to_string(), &headers, &body, &mut bytes);
+    let pooled = if reuse { pool.take(to.addr) } else { None };
+    let (used, connected) = match pooled {
+        Some(stream) => (true, Ok(stream)),
+        None => (false, client::connect(to.addr).await),
+    };
+    let Ok(mut stream) = connected else { return Outcome::Refused };
+    let (sending, heard) = (Cell::new(false), Cell::new(false));
+    let (reply, again) = match client::exchange(&mut stream, &bytes, &sending, &heard).await {
+        Ok(got) => got,
+        Err(_) if used && !heard.get() => return Outcome::Stale,
+        Err(CallError::NotBegun(_)) => return Outcome::Refused,
+        Err(CallError::MaybeBegun(_)) => return Outcome::Lost,
+        Err(CallError::Ended(_)) => return Outcome::Failed,
+    };
+    if again {
+        pool.give(to.addr, stream, to.share);
+    }
+    match reply.status {
+        200 if fits(&to, &reply.body) => Outcome::Good(reply.body.into()),
+        429 => Outcome::Refused,
+        503 | 409 if reply.not_begun => Outcome::Refused,
+        400..=499 if reply.status != 408 => Outcome::Unfit,
+        504 => Outcome::Lost,
+        _ => Outcome::Failed,
+    }
+}
+
+/// Whether a body is what the file says that replies are.
+fn fits(to: &Dependency, body: &[u8]) -> bool {
+    if to.json {
+        serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+    } else {
+        std::str::from_utf8(body).is_ok()
+    }
+}
--- a/crates/server/src/input.rs
+++ b/crates/server/src/input.rs
@@ -1,13 +1,14 @@
 //! What reaches the desk, and the ids that go with it: values alone, so that every part may name them and none
 //! needs another for it.
 use crate::answer::Parcel;
-use crate::call::CallError;
+use crate::client::CallError;
 use crate::config::Config;
 use crate::report::News;
 use crate::wire::engine::{Command, Notice};
 use crate::wire::sidecar::{Req, Stream};
 use async_channel::Sender;
 use cottondyke_decide::types::ReqId;
+use cottondyke_depend::{CallId, Outcome};
 use std::net::SocketAddr;
 
 /// Inputs that may wait for the desk; past that their senders wait.
@@ -43,6 +44,8 @@
     EngineDown(Vec<Command>),
     Notice(Notice),
     Called(ReqId, CallNo, Result<Vec<u8>, CallError>),
+    /// A call for a part of a page.
+    Fetched(CallId, Outcome),
     Leave,
     /// The configuration, read anew.
     Reload(Result<Box<Config>, String>),
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,4 +1,5 @@
 //! The program: `serve`, `check`, `version`.
+use cottondyke::sources::{self, Sources};
 use cottondyke::{config::Config, serve};
 use lexopt::prelude::*;
 use std::process::ExitCode;
@@ -7,53 +8,60 @@
 const HELP: &str = "\
 cottondyke - a server that decides what it takes, runs and turns away
 
-usage: cottondyke COMMAND [--config FILE] [--log LEVEL]
+usage: cottondyke COMMAND [--config FILE] [--operator FILE] [--log LEVEL]
 
 commands:
   serve      serve until SIGTERM
-  check      read the configuration, say what is wrong with it
+  check      read both files, say what is wrong with them, or what is in force
   version    print the version
 
 options:
-  --config FILE   the configuration (default: the file that GW_CONFIG names)
-  --log LEVEL     error, warn, info (default), debug or trace, on standard error
+  --config FILE    the platform's configuration (default: the file that GW_CONFIG names)
+  --operator FILE  the operator's script; with it alone the program serves on its own
+  --log LEVEL      error, warn, info (default), debug or trace, on standard error
 
-SIGHUP reads the configuration anew; SIGTERM is the notice to leave
+SIGHUP reads both files anew; SIGTERM is the notice to leave
 exit codes: 0 well, 1 could not serve, 2 bad usage or configuration";
 
 struct Usage {
     command: String,
-    config: Option<String>,
+    sources: Sources,
+    file: Option<String>,
     log: LevelFilter,
 }
 
 fn usage() -> Result<Usage, lexopt::Error> {
-    let mut usage = Usage { command: String::new(), config: None, log: LevelFilter::INFO };
+    let mut usage =
+        Usage { command: String::new(), sources: Sources::default(), file: None, log: LevelFilter::INFO };
     let mut words = lexopt::Parser::from_env();
     while let Some(word) = words.next()? {
         match word {
-            Long("config") => usage.config = Some(words.value()?.string()?),
+            Long("config") => usage.sources.config = Some(words.value()?.string()?),
+            Long("operator") => usage.sources.operator = Some(words.value()?.string()?),
             Long("log") => usage.log = words.value()?.parse()?,
             Long("help") | Short('h') => usage.command = "help".to_string(),
             Long("version") | Short('V') => usage.command = "version".to_string(),
             Value(command) if usage.command.is_empty() => usage.command = command.string()?,
+            Value(file) if usage.command == "evaluate" && usage.file.is_none() => {
+                usage.file = Some(file.string()?);
+            }
             other => return Err(other.unexpected()),
         }
     }
     Ok(usage)
 }
 
-fn config(path: Option<String>) -> Result<(String, Config), String> {
-    let path = path.or_else(|| std::env::var("GW_CONFIG").ok());
-    let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
-    Config::read(&path).map(|config| (path, config))
-}
-
 fn fail(why: &str, code: u8) -> ExitCode {
     eprintln!("cottondyke: {}", why.replace(['\n', '\r'], " "));
     ExitCode::from(code)
 }
 
+/// What is in force, for people.
+fn checked(config: &Config) -> String {
+    let summary = config.operator.as_ref().map(|o| o.summary(&config.known())).unwrap_or_default();
+    format!("{}: the configuration is good\n{summary}", config.name)
+}
+
 fn main() -> ExitCode {
     let usage = match usage() {
         Ok(usage) => usage,
@@ -62,18 +70,27 @@
     match usage.command.as_str() {
         "help" => println!("{HELP}"),
         "version" => println!("cottondyke {}", env!("CARGO_PKG_VERSION")),
+        // What the program calls itself with, to evaluate a script under limits.
+        "evaluate" => {
+            if let Err(wrong) = sources::evaluate(&usage.file.unwrap_or_default()) {
+                return fail(&wrong, 1);
+            }
+        }
         "check" | "serve" => {
-            let (path, config) = match config(usage.config) {
+            let mut sources = usage.sources;
+            sources.config =
+                sources.config.or_else(|| std::env::var("GW_CONFIG").ok()).filter(|p| !p.is_empty());
+            let config = match sources.read() {
                 Ok(read) => read,
                 Err(wrong) => return fail(&wrong, 2),
             };
             if usage.command == "check" {
-                println!("{}: the configuration is good", config.name);
+                print!("{}", checked(&config));
                 return ExitCode::SUCCESS;
             }
             let log = tracing_subscriber::fmt().with_max_level(usage.log).with_ansi(false);
             log.with_writer(std::io::stderr).init();
-            if let Err(wrong) = serve::serve(path, config) {
+            if let Err(wrong) = serve::serve(sources, config) {
                 return fail(&wrong, 1);
             }
         }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::input::{Lines, MOST_INPUTS};
 use crate::intake::Front;
 use crate::room::Room;
+use crate::sources::Sources;
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
 use crate::{accept, drain, report, run};
@@ -13,8 +14,8 @@
 use std::rc::Rc;
 
 /// Serves until the server has left; an error says in one line why it could not.
-/// `path` is where the configuration is read anew on SIGHUP.
-pub fn serve(path: String, config: Config) -> Result<(), String> {
+/// `sources` are read anew on SIGHUP.
+pub fn serve(sources: Sources, config: Config) -> Result<(), String> {
     // First of all: until this stands, a signal has its default action.
     let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
     let listener =
@@ -39,19 +40,27 @@
     let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone() };
     let accepting = accept::listen(executor.clone(), listener, Rc::new(front), closed);
     let accepting = executor.spawn(accepting);
-    let running = executor.spawn(run::keep(config.engine, moves, to_desk.clone()));
-    let reporting = executor.spawn(report::keep(config.control, config.name.clone(), changes));
-    let watching = executor.spawn(drain::watch(signals, path, to_desk.clone()));
+    let (desk_of, name) = (to_desk.clone(), config.name.clone());
+    let running = config.engine.map(|engine| executor.spawn(run::keep(engine, moves, desk_of)));
+    let reporting = config.control.map(|control| executor.spawn(report::keep(control, name, changes)));
+    let watching = executor.spawn(drain::watch(signals, sources, to_desk.clone()));
     let desk =
         Desk::new(config, decider, clock, executor.clone(), to_desk, room, Lines { news, engine, close });
     // Without any of these the server would be half alive: a panic in one ends it, with a word why.
-    let all = desk.run(inputs).or(kept(accepting)).or(kept(running)).or(kept(reporting)).or(kept(watching));
+    let all = desk
+        .run(inputs)
+        .or(kept(Some(accepting)))
+        .or(kept(running))
+        .or(kept(reporting))
+        .or(kept(Some(watching)));
     async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
         .map_err(|_| "a part of the server panicked; it cannot go on".to_string())
 }
 
 /// Passes a task's panic on; its end is of no interest.
-async fn kept(task: Task<()>) {
-    task.await;
+async fn kept(task: Option<Task<()>>) {
+    if let Some(task) = task {
+        task.await;
+    }
     std::future::pending().await
 }
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -20,6 +20,8 @@
     pub status: u16,
     /// The service says that the call never ran.
     pub not_begun: bool,
+    /// The service closes the connection after it.
+    pub close: bool,
     /// Only a 200 has one that counts.
     pub body: Vec<u8>,
 }
@@ -42,6 +44,11 @@
         self.pending.feed(bytes);
     }
 
+    /// Whether nothing more has come than was decoded.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// The reply, once it has come whole.
     pub fn reply(&mut self) -> Result<Option<Reply>, Malformed> {
         while self.head.is_none() {
@@ -102,7 +109,8 @@
     let text = std::str::from_utf8(bytes).map_err(|_| Malformed("a head is not text"))?;
     let mut lines = text.split("\r\n");
     let mut first = lines.next().unwrap_or_default().splitn(3, ' ');
-    first.next().filter(|v| v.starts_with("HTTP/1.")).ok_or(Malformed("not HTTP/1"))?;
+    let version = first.next().filter(|v| v.starts_with("HTTP/1.")).ok_or(Malformed("not HTTP/1"))?;
+    let mut close = version == "HTTP/1.0";
     let status = first.next().filter(|s| s.len() == 3).and_then(|s| s.parse::<u16>().ok());
     let status = status.filter(|s| (100..600).contains(s)).ok_or(Malformed("no status"))?;
     let mut body = (status != 200).then_some(Body::Sized(0));
@@ -124,11 +132,12 @@
                 let chunked = value.eq_ignore_ascii_case("chunked");
                 body = if chunked { Some(Body::Chunked) } else { Err(Malformed("an unknown encoding"))? };
             }
+            "connection" => close |= value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close")),
             "op-not-begun" => not_begun = value == "1",
             _ => {}
         }
     }
     // One that ends with its connection may have been cut short: it is not believed.
     let body = body.ok_or(Malformed("a body without a length"))?;
-    Ok((Reply { status, not_begun, body: Vec::new() }, body))
+    Ok((Reply { status, not_begun, close, body: Vec::new() }, body))
 }
--- a/crates/server/src/work/engine.rs
+++ b/crates/server/src/work/engine.rs
@@ -1,7 +1,8 @@
 //! Runs on the engine: which there are, what each waits for, and what a broken link may have lost. The calls that
 //! runs ask for are made here once the decider lets them out.
 use super::{Event, Job, Output};
-use crate::call::{self, CallError};
+use crate::call;
+use crate::client::CallError;
 use crate::input::{CallNo, Input};
 use crate::run::Engine;
 use crate::wire::engine::{Command, Notice, NoticeNo, Tag};
--- a/crates/server/src/work/mod.rs
+++ b/crates/server/src/work/mod.rs
@@ -1,7 +1,8 @@
 //! What a started req does. A kind of work is told `start` and `stop`, and ends each run exactly once with an
 //! `Event::Ended`; it knows nothing of connections, and the decider hears of it by the desk alone.
 pub mod engine;
-use cottondyke_decide::types::{CallEnd, Kind, ReqId, RunEnd, Time};
+pub mod pages;
+use cottondyke_decide::types::{CallEnd, CustomerId, Kind, ReqId, RunEnd, Time};
 use std::rc::Rc;
 
 /// What a run brought.
@@ -28,6 +29,7 @@
 pub struct Job {
     pub wire: crate::wire::WireId,
     pub handler: cottondyke_decide::types::HandlerId,
+    pub customer: Option<CustomerId>,
     pub body: Rc<[u8]>,
     /// The end of its response target, and the time by which it must be answered.
     pub target: Time,
@@ -49,40 +51,100 @@
     Tested(crate::wire::engine::Tag, bool),
 }
 
-/// The kinds of work that this server has, and which handler goes to which.
+/// The kinds of work that this server has, and which handler goes to which. Events come back from every input,
+/// for the desk to take in their order.
 pub struct Works {
-    pub engine: engine::Runs,
+    /// None where the program serves on its own.
+    pub engine: Option<engine::Runs>,
+    /// None without an operator's file.
+    pub pages: Option<pages::Runs>,
     classes: Vec<Rc<str>>,
     kinds: Vec<Kind>,
 }
 
 impl Works {
     /// `classes` and `kinds` by handler.
-    pub fn new(engine: engine::Runs, classes: Vec<Rc<str>>, kinds: Vec<Kind>) -> Self {
-        Works { engine, classes, kinds }
+    pub fn new(
+        engine: Option<engine::Runs>, pages: Option<pages::Runs>, classes: Vec<Rc<str>>, kinds: Vec<Kind>,
+    ) -> Self {
+        Works { engine, pages, classes, kinds }
     }
 
-    pub fn start(&mut self, id: ReqId, job: &Job) {
-        let place = job.handler.0;
+    /// Whether anything can run: with an engine, only once it has said hello.
+    pub fn ready(&self) -> bool {
+        self.engine.as_ref().is_none_or(engine::Runs::greeted)
+    }
+
+    /// Whether what runs reqs can be reached now.
+    pub fn is_up(&self) -> bool {
+        self.engine.as_ref().is_none_or(engine::Runs::is_up)
+    }
+
+    pub fn start(&mut self, now: Time, id: ReqId, job: &Job) -> Vec<Event> {
+        let (place, ready) = (job.handler.0, self.ready());
         let replayable = self.kinds[place] == Kind::Replayable;
-        self.engine.start(id, job, self.classes[place].clone(), replayable);
+        match (&mut self.pages, &mut self.engine) {
+            // What starts before the first hello starts anew with it.
+            (Some(pages), _) if pages.has(place) && !ready => {}
+            (Some(pages), _) if pages.has(place) => return pages.start(now, id, job, replayable),
+            (_, Some(engine)) => engine.start(id, job, self.classes[place].clone(), replayable),
+            (_, None) => return vec![Event::Ended(id, RunEnd::Errored, Output::default())],
+        }
+        Vec::new()
     }
 
-    pub fn stop(&mut self, id: ReqId) {
-        self.engine.stop(id);
+    /// Asks for a run's end.
+    pub fn stop(&mut self, now: Time, id: ReqId) -> Vec<Event> {
+        if let Some(engine) = &mut self.engine {
+            engine.stop(id);
+        }
+        self.pages.as_mut().map_or(Vec::new(), |pages| pages.stop(now, id))
     }
 
-    /// Nobody waits for the run any longer.
+    /// Nobody waits for the run any longer. Pages end by themselves when they are due.
     pub fn unwanted(&mut self, id: ReqId) {
-        self.engine.unwanted(id);
+        if let Some(engine) = &mut self.engine {
+            engine.unwanted(id);
+        }
     }
 
     /// The run is over for the desk.
     pub fn forget(&mut self, id: ReqId) {
-        self.engine.forget(id);
+        if let Some(engine) = &mut self.engine {
+            engine.forget(id);
+        }
+    }
+
+    pub fn forget_all(&mut self, now: Time) {
+        if let Some(engine) = &mut self.engine {
+            engine.forget_all();
+        }
+        if let Some(pages) = &mut self.pages {
+            pages.forget_all(now);
+        }
+    }
+
+    /// All is to be answered by `until`.
+    pub fn leaving(&mut self, until: Time) {
+        if let Some(pages) = &mut self.pages {
+            pages.leaving(until);
+        }
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        self.pages.as_ref().and_then(pages::Runs::next)
+    }
+
+    pub fn timer(&mut self, now: Time) -> Vec<Event> {
+        let due = self.next().is_some_and(|at| at <= now);
+        self.pages.as_mut().filter(|_| due).map_or(Vec::new(), |pages| pages.timer(now))
     }
 
-    pub fn forget_all(&mut self) {
-        self.engine.forget_all();
+    /// Once a second: lines for the log.
+    pub fn tally(&mut self, now: Time) -> engine::Tally {
+        if let Some(pages) = &mut self.pages {
+            pages.chores(now);
+        }
+        self.engine.as_mut().map(|engine| std::mem::take(&mut engine.tally)).unwrap_or_default()
     }
 }
--- /dev/null
+++ b/crates/server/src/work/pages.rs
@@ -0,0 +1,251 @@
+//! Pages composed by the program. What is decided of them is in `cottondyke_depend`; here its actions become
+//! tasks, and answers become bytes.
+use super::{Event, Job, Output};
+use crate::client::Pool;
+use crate::fetch::fetch;
+use crate::input::Input;
+use crate::wire::WireId;
+use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
+use cottondyke_decide::types::{ReqId, RunEnd, Time};
+use cottondyke_depend::breaker::Stage;
+use cottondyke_depend::{Action, Answer, CallId, Outcome, Pages, PartEnd, Plan, Start, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+pub struct Runs {
+    pages: Pages,
+    /// The page of each handler that has one.
+    by_handler: Vec<Option<usize>>,
+    wires: BTreeMap<ReqId, WireId>,
+    calls: BTreeMap<CallId, Task<()>>,
+    /// Calls that nobody waits for, listened to until then.
+    listening: BTreeSet<(Time, CallId)>,
+    pool: Rc<Pool>,
+    executor: Rc<LocalExecutor<'static>>,
+    inputs: Sender<Input>,
+}
+
+impl Runs {
+    /// `by_handler`: the place in the plan of each handler's page.
+    pub fn new(
+        now: Time, plan: Plan, by_handler: Vec<Option<usize>>, seed: u64,
+        executor: Rc<LocalExecutor<'static>>, inputs: Sender<Input>,
+    ) -> Self {
+        Runs {
+            pages: Pages::new(now, plan, seed, true),
+            by_handler,
+            wires: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            listening: BTreeSet::new(),
+            pool: Rc::default(),
+            executor,
+            inputs,
+        }
+    }
+
+    /// Another file is in force for what starts from now on.
+    pub fn install(&mut self, now: Time, plan: Plan, by_handler: Vec<Option<usize>>) -> Vec<Event> {
+        self.by_handler = by_handler;
+        let actions = self.pages.install(now, plan);
+        self.carry(now, actions)
+    }
+
+    pub fn has(&self, handler: usize) -> bool {
+        self.by_handler.get(handler).is_some_and(Option::is_some)
+    }
+
+    pub fn start(&mut self, now: Time, id: ReqId, job: &Job, may_repeat: bool) -> Vec<Event> {
+        let Some(page) = self.by_handler.get(job.handler.0).copied().flatten() else {
+            return vec![Event::Ended(id, RunEnd::Errored, Output::default())];
+        };
+        self.wires.insert(id, job.wire);
+        let start = Start {
+            run: id,
+            page,
+            body: job.body.clone(),
+            customer: job.customer,
+            target: job.target,
+            due: job.due,
+            may_repeat,
+        };
+        let actions = self.pages.start(now, start);
+        self.carry(now, actions)
+    }
+
+    pub fn stop(&mut self, now: Time, id: ReqId) -> Vec<Event> {
+        let actions = self.pages.stop(now, id);
+        self.carry(now, actions)
+    }
+
+    /// All runs end, and nobody is told.
+    pub fn forget_all(&mut self, now: Time) {
+        for id in self.wires.keys().copied().collect::<Vec<_>>() {
+            let _ = self.stop(now, id);
+        }
+    }
+
+    pub fn leaving(&mut self, until: Time) {
+        self.pages.leaving(until);
+    }
+
+    pub fn next(&self) -> Option<Time> {
+        let listening = self.listening.first().map(|(at, _)| *at);
+        [self.pages.next(), listening].into_iter().flatten().min()
+    }
+
+    pub fn timer(&mut self, now: Time) -> Vec<Event> {
+        let actions = self.pages.timer(now);
+        let mut events = self.carry(now, actions);
+        while let Some((_, call)) = self.listening.first().copied().filter(|(at, _)| *at <= now) {
+            self.listening.pop_first();
+            // Dropping the task closes the connection.
+            if self.calls.remove(&call).is_some() {
+                let actions = self.pages.ended(now, call, Outcome::Lost);
+                events.extend(self.carry(now, actions));
+            }
+        }
+        events
+    }
+
+    pub fn fetched(&mut self, now: Time, call: CallId, outcome: Outcome) -> Vec<Event> {
+        // One whose task was dropped may have sent its end before.
+        if self.calls.remove(&call).is_none() {
+            return Vec::new();
+        }
+        let actions = self.pages.ended(now, call, outcome);
+        self.carry(now, actions)
+    }
+
+    /// One line a second for each dependency that was asked; idle connections that are too old go.
+    pub fn chores(&mut self, now: Time) {
+        self.pool.trim();
+        for (dependency, sums, limit, held, stage) in self.pages.sums(now) {
+            if sums != Default::default() {
+                let (first, hedges, repeats) = (sums.first, sums.hedges, sums.repeats);
+                let (well, ill, late, full, shut) = (sums.well, sums.ill, sums.late, sums.full, sums.shut);
+                let open = stage != Stage::Closed;
+                tracing::info!(
+                    %dependency, first, hedges, repeats, well, ill, late, full, shut, limit, held, open,
+                    "calls in the last second"
+                );
+            }
+        }
+    }
+
+    fn carry(&mut self, now: Time, actions: Vec<Action>) -> Vec<Event> {
+        let mut events = Vec::new();
+        for action in actions {
+            match action {
+                Action::Call { call, run, to, body, within, reuse } => {
+                    let Some(wire) = self.wires.get(&run).copied() else { continue };
+                    let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
+                    let task = self.executor.spawn(async move {
+                        let outcome = fetch(pool, to, wire, body, within, reuse).await;
+                        let _ = inputs.send(Input::Fetched(call, outcome)).await;
+                    });
+                    self.calls.insert(call, task);
+                }
+                Action::GiveUp { call, listen } if listen > Time(0) => {
+                    self.listening.insert((now + listen, call));
+                }
+                Action::GiveUp { call, .. } => drop(self.calls.remove(&call)),
+                Action::Ended { run, answer } => {
+                    self.wires.remove(&run);
+                    let (end, output) = match answer {
+                        Answer::Parts(parts) => (RunEnd::Done, composed(&parts)),
+                        Answer::Errored => (RunEnd::Errored, Output::default()),
+                        Answer::Stopped => (RunEnd::Stopped, Output::default()),
+                    };
+                    events.push(Event::Ended(run, end, output));
+                }
+                Action::Changed { dependency, stage, limit } => match stage {
+                    Stage::Open { until } => {
+                        let rest_ms = crate::time::ms(until - now);
+                        tracing::warn!(%dependency, rest_ms, limit, "its breaker opened");
+                    }
+                    Stage::HalfOpen { .. } => tracing::info!(%dependency, "its breaker lets probes through"),
+                    Stage::Closed => tracing::info!(%dependency, limit, "its breaker closed"),
+                },
+            }
+        }
+        events
+    }
+}
+
+/// The answer's body: each part with its state, and the names of those that are not whole.
+fn composed(parts: &[PartEnd]) -> Output {
+    let partial: Vec<&str> = parts.iter().filter(|p| p.state != State::Whole).map(|p| &*p.name).collect();
+    let mut body = Vec::with_capacity(
+        64 + parts.iter().map(|p| p.body.as_ref().map_or(64, |b| b.len() + 64)).sum::<usize>(),
+    );
+    let quoted = |text: &str| serde_json::Value::from(text).to_string();
+    body.extend(format!("{{\"partial\":{},\"parts\":{{", serde_json::Value::from(partial.clone())).bytes());
+    for (place, part) in parts.iter().enumerate() {
+        body.extend(if place > 0 { &b","[..] } else { b"" });
+        let state = match &part.state {
+            State::Whole => "\"whole\"".to_string(),
+            State::Kept(age) => format!("\"kept\",\"age_ms\":{}", age.0 / 10),
+            State::Other(name) => format!("\"other\",\"from\":{}", quoted(name)),
+            State::Fixed => "\"fixed\"".to_string(),
+            State::Missing => "\"missing\"".to_string(),
+        };
+        body.extend(format!("{}:{{\"state\":{state}", quoted(&part.name)).bytes());
+        if let Some(bytes) = &part.body {
+            body.extend(b",\"body\":");
+            if part.json {
+                body.extend_from_slice(bytes);
+            } else {
+                body.extend(quoted(&String::from_utf8_lossy(bytes)).bytes());
+            }
+        }
+        body.push(b'}');
+    }
+    body.extend(b"}}");
+    let partial = (!partial.is_empty()).then(|| partial.join(",").into());
+    Output { body, partial }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards clients: the body is JSON whatever the parts hold, and says what each part is.
+    #[test]
+    fn an_answer_tells_the_state_of_each_part() {
+        let part = |name: &str, state, body: Option<&str>, json| PartEnd {
+            name: name.into(),
+            state,
+            body: body.map(|b| b.as_bytes().into()),
+            json,
+        };
+        let whole = [
+            part("a", State::Whole, Some("{\"x\":1}"), true),
+            part("b", State::Whole, Some("a\"b\n"), false),
+        ];
+        let output = composed(&whole);
+        assert_eq!(output.partial, None);
+        let read: serde_json::Value = serde_json::from_slice(&output.body).unwrap();
+        assert_eq!(
+            (&read["parts"]["a"]["body"]["x"], &read["parts"]["b"]["body"]),
+            (&1.into(), &"a\"b\n".into())
+        );
+        let parts = [
+            part("a", State::Kept(Time(1_230)), Some("[]"), true),
+            part("b", State::Other("backup".into()), Some("x"), false),
+            part("c", State::Fixed, Some("null"), true),
+            part("d", State::Missing, None, false),
+            part("e", State::Whole, Some(""), false),
+        ];
+        let output = composed(&parts);
+        assert_eq!(output.partial.as_deref(), Some("a,b,c,d"));
+        let read: serde_json::Value = serde_json::from_slice(&output.body).unwrap();
+        assert_eq!(read["partial"], serde_json::json!(["a", "b", "c", "d"]));
+        assert_eq!(read["parts"]["a"], serde_json::json!({ "state": "kept", "age_ms": 123, "body": [] }));
+        assert_eq!(
+            read["parts"]["b"],
+            serde_json::json!({ "state": "other", "from": "backup", "body": "x" })
+        );
+        assert_eq!(read["parts"]["d"], serde_json::json!({ "state": "missing" }));
+    }
+}
