Stand-in dependencies, and a laboratory that plays trials of the real program

cottondyke-lab trial dependencies runs three nodes and four dependencies that fail by a seeded schedule, near capacity, beside a fleet without fall-backs and one with fixed limits. The toy and the tests use crates/standin. Typing and evaluation moved to cottondyke-script, since the interpreter's tables doubled the server's resident memory.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,94 @@
+//! `cottondyke-lab`: plays trials of the real program among stand-ins on loopback.
+mod fleet;
+mod load;
+mod outcome;
+mod trials;
+
+use lexopt::prelude::*;
+use outcome::Outcome;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+cottondyke-lab - trials of cottondyke among stand-ins that fail by a seeded schedule
+
+usage: cottondyke-lab trial NAME [--seed N] [--without DEFENCE] [--seconds S] [--verbose]
+
+trials:
+  dependencies   3 nodes and 4 dependencies that hang, slow down, reset, answer late and spoil;
+                 --without budget, limit, adapt, breaker, hedge, kept or fallback
+  calm           one node and nothing wrong: what a page costs beside one without limits and breakers
+  restarts       nodes that are killed and started again, and the ceiling of a dependency
+
+options:
+  --seed N           draws the schedule (default 1)
+  --without DEFENCE  runs with one defence off
+  --seconds S        how long the schedule is (each trial has its own default)
+  --verbose          what the nodes log goes to standard error
+
+The last line on standard output is one JSON object with checks and figures.
+exit codes: 0 every check holds, 1 one does not, 2 bad usage";
+
+pub struct Usage {
+    pub seed: u64,
+    pub without: Option<String>,
+    pub seconds: Option<u64>,
+    pub verbose: bool,
+}
+
+fn usage() -> Result<Option<(String, Usage)>, lexopt::Error> {
+    let mut usage = Usage { seed: 1, without: None, seconds: None, verbose: false };
+    let (mut command, mut name) = (None, None);
+    let mut words = lexopt::Parser::from_env();
+    while let Some(word) = words.next()? {
+        match word {
+            Long("seed") => usage.seed = words.value()?.parse()?,
+            Long("without") => usage.without = Some(words.value()?.string()?),
+            Long("seconds") => usage.seconds = Some(words.value()?.parse()?),
+            Long("verbose") => usage.verbose = true,
+            Long("help") | Short('h') => return Ok(None),
+            Value(word) if command.is_none() => command = Some(word.string()?),
+            Value(word) if name.is_none() => name = Some(word.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    match (command.as_deref(), name) {
+        (Some("trial"), Some(name)) => Ok(Some((name, usage))),
+        (Some("trial"), None) => Err("trial: which one?".into()),
+        (Some(other), _) => Err(format!("unknown command {other:?}").into()),
+        (None, _) => Ok(None),
+    }
+}
+
+fn main() -> ExitCode {
+    let (name, usage) = match usage() {
+        Ok(Some(usage)) => usage,
+        Ok(None) => {
+            println!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(wrong) => {
+            eprintln!("cottondyke-lab: {wrong}; see cottondyke-lab --help");
+            return ExitCode::from(2);
+        }
+    };
+    let played: std::io::Result<Outcome> = match name.as_str() {
+        "dependencies" => trials::dependencies::play(&usage),
+        "calm" => trials::calm::play(&usage),
+        "restarts" => trials::restarts::play(&usage),
+        _ => {
+            eprintln!("cottondyke-lab: unknown trial {name:?}; see cottondyke-lab --help");
+            return ExitCode::from(2);
+        }
+    };
+    match played {
+        Ok(outcome) => {
+            println!("{}", outcome.line(&name, &usage));
+            ExitCode::from(u8::from(!outcome.pass()))
+        }
+        Err(error) => {
+            let bad = error.kind() == std::io::ErrorKind::InvalidInput;
+            eprintln!("cottondyke-lab: {name}: {error}");
+            ExitCode::from(if bad { 2 } else { 1 })
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trials/dependencies.rs
@@ -0,0 +1,196 @@
+//! Three nodes and four dependencies that fail singly and together, near capacity. Beside the fleet on trial run
+//! two others on the same schedule: one without fall-backs, one with fixed limits and no breaker.
+use super::shop::{self, Worth, CEILING, RETRIES, TIMEOUT};
+use crate::fleet::Node;
+use crate::load::{self, Calls, Mix};
+use crate::outcome::Outcome;
+use crate::Usage;
+use cottondyke_standin::dependency::{Dependency, Fault};
+use std::io;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 3;
+const CONNECTIONS: usize = 4;
+/// Reqs a second at each node: the dependencies can answer 133 a second of each node's.
+const RATE: f64 = 100.0;
+const CALM: f64 = 2.5;
+const FAULT: f64 = 3.0;
+const REST: f64 = 2.5;
+const LAST_REST: f64 = 5.0;
+const DEFENCES: [&str; 7] = ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback"];
+
+/// One stretch of the schedule: when, from the start of the load, and what each dependency does wrong.
+struct Spell {
+    from: f64,
+    to: f64,
+    faults: Vec<(usize, Fault)>,
+}
+
+fn schedule(random: &mut fastrand::Rng, seconds: f64) -> Vec<Spell> {
+    let late = Duration::from_millis(270);
+    let kinds = [Fault::Hang, Fault::Slow(6), Fault::Reset, Fault::Late(late), Fault::Spoil, Fault::Fail];
+    let mut spells = Vec::new();
+    let mut from = CALM;
+    // One, two and all three together, each at least once.
+    let mut together = vec![1, 3, 2, 1, 2];
+    random.shuffle(&mut together);
+    for count in together {
+        if from + FAULT + LAST_REST > seconds && !spells.is_empty() {
+            break;
+        }
+        let mut places = vec![0, 1, 2];
+        random.shuffle(&mut places);
+        let faults = places[..count].iter().map(|place| (*place, kinds[random.usize(0..kinds.len())]));
+        spells.push(Spell { from, to: from + FAULT, faults: faults.collect() });
+        from += FAULT + REST;
+    }
+    spells
+}
+
+struct Fleet {
+    nodes: Vec<Node>,
+    dependencies: Vec<Dependency>,
+}
+
+fn fleet(seed: u64, off: &[&str], verbose: bool) -> io::Result<Fleet> {
+    let dependencies = shop::dependencies(seed)?;
+    let script = shop::script(&dependencies, NODES, off);
+    let nodes = (0..NODES).map(|_| Node::start(&script, verbose)).collect::<io::Result<_>>()?;
+    Ok(Fleet { nodes, dependencies })
+}
+
+/// All reqs of a fleet, with the time when each was due from the start.
+struct Story(Vec<(f64, Worth)>);
+
+impl Story {
+    fn of(calls: Vec<Calls>, start: Instant) -> Self {
+        let sent = calls.iter().flat_map(|calls| &calls.sent);
+        let mut all: Vec<_> =
+            sent.map(|s| (s.due.saturating_duration_since(start).as_secs_f64(), shop::worth(s))).collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Story(all)
+    }
+
+    fn count(&self, is: impl Fn(&Worth) -> bool) -> f64 {
+        self.0.iter().filter(|(_, w)| is(w)).count() as f64
+    }
+
+    fn value(&self) -> f64 {
+        self.0.iter().map(|(_, w)| w.value).sum()
+    }
+
+    fn within(&self, from: f64, to: f64) -> impl Iterator<Item = &Worth> {
+        self.0.iter().filter(move |(at, _)| (from..to).contains(at)).map(|(_, w)| w)
+    }
+
+    /// How long after `from` 0.95 of the reqs of a fifth of a second are answered whole, from then to `until`.
+    fn whole_again(&self, from: f64, until: f64) -> f64 {
+        const SLOT: f64 = 0.25;
+        let slots = ((until - from) / SLOT) as usize;
+        let whole = |slot: usize| {
+            let at = from + slot as f64 * SLOT;
+            let all: Vec<_> = self.within(at, at + SLOT).collect();
+            let good = all.iter().filter(|w| w.done && !w.partial && !w.late).count();
+            good as f64 >= 0.95 * all.len() as f64
+        };
+        let first = (0..slots).find(|slot| whole(*slot));
+        first.map_or(until - from + 10.0, |slot| slot as f64 * SLOT)
+    }
+}
+
+pub fn play(usage: &Usage) -> io::Result<Outcome> {
+    let mut off: Vec<&str> = Vec::new();
+    if let Some(without) = usage.without.as_deref() {
+        if !DEFENCES.contains(&without) {
+            let known = DEFENCES.join(", ");
+            let wrong = format!("--without {without}: expected one of {known}");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, wrong));
+        }
+        off.push(without);
+    }
+    let seconds = usage.seconds.unwrap_or(30) as f64;
+    let mut random = fastrand::Rng::with_seed(usage.seed);
+    let spells = schedule(&mut random, seconds);
+    let fleets = [
+        fleet(usage.seed, &off, usage.verbose)?,
+        fleet(usage.seed, &["fallback"], false)?,
+        fleet(usage.seed, &["adapt", "breaker"], false)?,
+    ];
+    // A node makes no call until what its former life may have left there is over.
+    let start = Instant::now() + shop::LINGER + Duration::from_millis(500);
+    let end = start + Duration::from_secs_f64(spells.last().map_or(CALM, |s| s.to) + LAST_REST);
+    let mix = Mix { handler: "browse", rate: RATE / CONNECTIONS as f64, bodies: 200 };
+    let mut callers = Vec::new();
+    for fleet in &fleets {
+        let mut of = Vec::new();
+        for (place, node) in fleet.nodes.iter().enumerate() {
+            for connection in 0..CONNECTIONS {
+                let seed = usage.seed ^ ((place * CONNECTIONS + connection) as u64) << 32;
+                of.push(load::call(node.addr, mix.clone(), seed, start, end, TIMEOUT + TIMEOUT));
+            }
+        }
+        callers.push(of);
+    }
+    for spell in &spells {
+        let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
+        std::thread::sleep(at(spell.from).saturating_duration_since(Instant::now()));
+        for fleet in &fleets {
+            spell.faults.iter().for_each(|(place, fault)| fleet.dependencies[*place].set(*fault));
+        }
+        std::thread::sleep(at(spell.to).saturating_duration_since(Instant::now()));
+        for fleet in &fleets {
+            spell.faults.iter().for_each(|(place, _)| fleet.dependencies[*place].set(Fault::None));
+        }
+    }
+    let stories: Vec<Story> = callers
+        .into_iter()
+        .map(|of| Story::of(of.into_iter().filter_map(|caller| caller.join().ok()).collect(), start))
+        .collect();
+    let (fleet, story) = (&fleets[0], &stories[0]);
+    let all = story.0.len() as f64;
+    let mut outcome = Outcome::default();
+    outcome.at_least("reqs sent", all, RATE * NODES as f64 * 10.0);
+    outcome.at_most("reqs without exactly one answer", story.count(|w| w.answers != 1), 0.0);
+    outcome.at_most("reqs answered after their due time", story.count(|w| w.lost), 0.0);
+    outcome.at_most("part of answers past the response target", story.count(|w| w.late) / all, 0.01);
+    outcome.at_most("answers that are not what their head says", story.count(|w| w.lied), 0.0);
+    let most = fleet.dependencies.iter().map(|d| d.counts().most_held).max().unwrap_or_default();
+    outcome.at_most("calls held at a dependency", most as f64, CEILING as f64);
+    let ratio = |other: &Story| story.value() / other.value().max(1.0);
+    outcome.at_least("value beside no fall-backs", ratio(&stories[1]), 1.5);
+    outcome.over("value beside fixed limits and no breaker", ratio(&stories[2]), 1.0);
+    let ends = spells.iter().enumerate().map(|(place, spell)| {
+        let until = spells.get(place + 1).map_or(spell.to + LAST_REST, |next| next.from);
+        story.whole_again(spell.to, until)
+    });
+    outcome.at_most("seconds until 0.95 are whole again", ends.fold(0.0, f64::max), 5.0);
+    for (name, dependency) in shop::NAMES.iter().zip(&fleet.dependencies) {
+        let counts = dependency.counts();
+        outcome.figure(&format!("calls at {name}"), counts.calls);
+        outcome.figure(&format!("extra calls at {name}"), counts.extra);
+        outcome.figure(&format!("most held at {name}"), counts.most_held);
+    }
+    let extra = fleet.dependencies.iter().map(|d| d.counts()).map(|c| {
+        let first = c.calls - c.extra;
+        c.extra as f64 / (first as f64).max(1.0)
+    });
+    outcome.at_most("extra calls as a part of first ones", extra.fold(0.0, f64::max), RETRIES);
+    let calm: Vec<_> = story.within(0.0, CALM - 0.5).collect();
+    let whole = calm.iter().filter(|w| w.done && !w.partial).count();
+    outcome.at_most("answers not whole before anything is wrong", (calm.len() - whole) as f64, 0.0);
+    outcome.figure("reqs", all);
+    outcome.figure("whole", story.count(|w| w.done && !w.partial) / all);
+    outcome.figure("partial", story.count(|w| w.partial) / all);
+    outcome.figure("shed or errored", story.count(|w| !w.done) / all);
+    outcome.figure("value a req", story.value() / all);
+    outcome.figure("value a req without fall-backs", stories[1].value() / all);
+    outcome.figure("value a req with fixed limits and no breaker", stories[2].value() / all);
+    let spells = spells.iter().map(|s| {
+        let faults = s.faults.iter().map(|(place, fault)| format!("{} {fault:?}", shop::NAMES[*place]));
+        let worth: Vec<_> = story.within(s.from, s.to).collect();
+        let value: f64 = worth.iter().map(|w| w.value).sum();
+        format!("{}: value {:.3}", faults.collect::<Vec<_>>().join(", "), value / worth.len().max(1) as f64)
+    });
+    outcome.figure("spells", spells.collect::<Vec<_>>());
+    Ok(outcome)
+}
--- /dev/null
+++ b/crates/lab/src/trials/mod.rs
@@ -0,0 +1,5 @@
+//! The trials, each with its schedule, checks and figures.
+pub mod calm;
+pub mod dependencies;
+pub mod restarts;
+pub mod shop;
--- /dev/null
+++ b/crates/lab/src/trials/restarts.rs
@@ -0,0 +1,65 @@
+//! Half of the nodes are killed and started again while their calls are out: what a dependency holds stays under
+//! its ceiling.
+use super::shop::{self, CEILING, TIMEOUT};
+use crate::fleet::Node;
+use crate::load::{self, Mix};
+use crate::outcome::Outcome;
+use crate::Usage;
+use cottondyke_standin::dependency::Fault;
+use std::io;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 4;
+const ROUNDS: usize = 6;
+
+pub fn play(usage: &Usage) -> io::Result<Outcome> {
+    let off: Vec<&str> = usage.without.iter().map(String::as_str).collect();
+    let dependencies = shop::dependencies(usage.seed)?;
+    let script = shop::script(&dependencies, NODES, &off);
+    let mut random = fastrand::Rng::with_seed(usage.seed);
+    let start_node = || Node::start(&script, usage.verbose);
+    let mut nodes: Vec<Node> = (0..NODES).map(|_| start_node()).collect::<io::Result<_>>()?;
+    std::thread::sleep(shop::LINGER);
+    // Slow, so that limits are reached and calls go on when their node is gone.
+    dependencies.iter().for_each(|d| d.set(Fault::Slow(3)));
+    let mix = Mix { handler: "browse", rate: 80.0, bodies: 200 };
+    let (mut answered, mut restarted) = (0, 0);
+    for round in 0..ROUNDS as u64 {
+        let start = Instant::now();
+        let end = start + Duration::from_secs(2);
+        let callers: Vec<_> = nodes
+            .iter()
+            .enumerate()
+            .map(|(place, node)| {
+                load::call(
+                    node.addr,
+                    mix.clone(),
+                    usage.seed ^ round << 16 ^ place as u64,
+                    start,
+                    end,
+                    TIMEOUT,
+                )
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(random.u64(500..1_500)));
+        random.shuffle(&mut nodes);
+        // An old process is gone before the new one starts; its calls may go on.
+        for _ in 0..NODES / 2 {
+            let mut old = nodes.remove(0);
+            restarted += usize::from(old.alive());
+            drop(old);
+            nodes.push(start_node()?);
+        }
+        let calls: Vec<_> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
+        answered += calls.iter().flat_map(|c| &c.sent).filter(|s| !s.heard.is_empty()).count();
+    }
+    let mut outcome = Outcome::default();
+    let most = dependencies.iter().map(|d| d.counts().most_held).max().unwrap_or_default();
+    outcome.at_least("reqs answered", answered as f64, 200.0);
+    outcome.at_least("nodes restarted", restarted as f64, (ROUNDS * NODES / 2) as f64);
+    outcome.at_most("calls held at a dependency", most as f64, CEILING as f64);
+    for (name, dependency) in shop::NAMES.iter().zip(&dependencies) {
+        outcome.figure(&format!("most held at {name}"), dependency.counts().most_held);
+    }
+    Ok(outcome)
+}
--- a/crates/operator/src/args.rs
+++ b/crates/operator/src/args.rs
@@ -1,7 +1,6 @@
 //! Reads the arguments of one declaration: each is asked for by name with what is expected of it, and what was
 //! not asked for is an error with the nearest name that is known.
-use crate::script::{Declared, AT, MADE};
-use crate::{Place, Wrong};
+use crate::{Declared, Place, Wrong, AT, MADE};
 use cottondyke_decide::types::Time;
 use serde_json::{Map, Value as Json};
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,20 +1,15 @@
-//! The operator's file: a Starlark script that declares handlers, dependencies and pages. `script` evaluates it
-//! within bounds and records what it declares, `args` and `typed` turn that into values, `check` holds them
-//! against each other. Every error names file, line and value, and what was expected.
-//!
-//! Evaluation bounds steps, depth, heap and files, but no interpreter bounds one allocation: the program
-//! evaluates in a child process under the system's limits (`docs/operators/file.md`).
+//! The operator's file as values: what a Starlark script declared (`cottondyke-script` evaluates it) becomes typed,
+//! and is held against itself and the handlers. Every error names file, line and value, and what was expected.
 mod args;
 mod check;
-mod script;
 mod typed;
 
 pub use check::Known;
 pub use typed::*;
 
 use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
 use std::fmt;
-use std::path::Path;
 
 /// A place in a script.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,8 +37,15 @@
 
 impl std::error::Error for Wrong {}
 
-/// Evaluates the script at `path`. What it declares is typed; `Operator::check` holds it against the handlers.
-pub fn evaluate(path: &Path) -> Result<Operator, Wrong> {
-    let declared = script::run(path)?;
-    typed::operator(&path.display().to_string(), declared)
+/// Marks what `part`, `kept` and their like return: which function made it, and where.
+pub const MADE: &str = "#made";
+pub const AT: &str = "#at";
+
+/// One declaration: which function was called, where, and with what.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Declared {
+    pub function: String,
+    pub at: Place,
+    pub args: Vec<Value>,
+    pub named: Map<String, Value>,
 }
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -1,8 +1,7 @@
 //! The values that a script's declarations stand for. Spans are in tenths of a millisecond, as everywhere in the
 //! project; each value carries the place where it was declared.
 use crate::args::{shown, Args};
-use crate::script::Declared;
-use crate::{Place, Wrong};
+use crate::{Declared, Place, Wrong, MADE};
 use cottondyke_decide::types::{Kind, Time};
 use serde::{Deserialize, Serialize};
 use serde_json::Value as Json;
@@ -241,7 +240,7 @@
 
 fn fallback(whose: &Args, value: &Json) -> Result<(Place, Fallback), Wrong> {
     let what = "kept(age), other(dependency), fixed(value) or leave_out()";
-    let first: &[&'static str] = match value.get(crate::script::MADE).and_then(Json::as_str) {
+    let first: &[&'static str] = match value.get(MADE).and_then(Json::as_str) {
         Some("kept") => &["most"],
         Some("other") => &["dependency"],
         Some("fixed") => &["value"],
@@ -273,7 +272,7 @@
 }
 
 fn part(page: &Args, value: &Json) -> Result<Part, Wrong> {
-    let made = value.get(crate::script::MADE).and_then(Json::as_str);
+    let made = value.get(MADE).and_then(Json::as_str);
     let made = made.filter(|function| *function == "part").and_then(|_| Args::made(value, &["name"]));
     let mut args = made.ok_or_else(|| page.expected("parts", value, "part(name, ...)"))??;
     let name = args.name("name")?;
@@ -312,6 +311,7 @@
     }
 }
 
+/// Types what a script declared.
 pub fn operator(file: &str, declared: Vec<Declared>) -> Result<Operator, Wrong> {
     let mut all = Operator { file: file.to_string(), kept_mb: 4.0, ..Operator::default() };
     let mut fleet = false;
--- a/crates/operator/src/script.rs
+++ b/crates/script/src/lib.rs
@@ -1,7 +1,8 @@
-//! Runs a script and records what it declares. Nothing is opened but the script and what it loads from its folder.
-use crate::{Place, Wrong};
-use serde::{Deserialize, Serialize};
-use serde_json::{json, Map, Value as Json};
+//! Runs a script within bounds of steps, depth, heap and files, and records what it declares. Nothing is opened but
+//! the script and what it loads from its folder. The heap is only looked at now and then, and no interpreter bounds
+//! one allocation: the program beside this library runs it under the system's limits.
+use cottondyke_operator::{Declared, Place, Wrong, AT, MADE};
+use serde_json::{json, Value as Json};
 use starlark::collections::SmallMap;
 use starlark::environment::{FrozenModule, Globals, GlobalsBuilder, LibraryExtension, Module};
 use starlark::eval::{Evaluator, FileLoader};
@@ -27,19 +28,6 @@
 /// Declarations of any kind.
 pub const MOST_DECLARED: usize = 4_096;
 
-/// Marks what `part`, `kept` and their like return.
-pub const MADE: &str = "#made";
-pub const AT: &str = "#at";
-
-/// One declaration: which function was called, where, and with what.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Declared {
-    pub function: String,
-    pub at: Place,
-    pub args: Vec<Json>,
-    pub named: Map<String, Json>,
-}
-
 /// What was declared so far, each as JSON: the interpreter hands on only types that it knows.
 type Store = RefCell<Vec<String>>;
 
@@ -280,6 +268,7 @@
     Wrong { at: Place { file: path.to_string(), line: 0 }, what: what.to_string() }
 }
 
+/// What the script at `path` declares, in its order.
 pub fn run(path: &Path) -> Result<Vec<Declared>, Wrong> {
     let shown = path.display().to_string();
     let globals = GlobalsBuilder::extended_by(&[LibraryExtension::Json]).with(declarations).build();
--- a/crates/operator/tests/scripts.rs
+++ b/crates/script/tests/scripts.rs
@@ -1,6 +1,6 @@
 //! Scripts, good and bad: each bad one with the place and the words of its error.
-use cottondyke_operator::{evaluate, Operator, Wrong};
-use std::path::PathBuf;
+use cottondyke_operator::{operator, Operator, Wrong};
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
@@ -29,6 +29,10 @@
     }
 }
 
+fn evaluate(path: &Path) -> Result<Operator, Wrong> {
+    operator(&path.display().to_string(), cottondyke_script::run(path)?)
+}
+
 fn checked(text: &str) -> Result<Operator, Wrong> {
     let folder = Folder::new();
     let path = folder.write("shop.star", text);
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,5 +1,5 @@
 //! The program: `serve`, `check`, `version`.
-use cottondyke::sources::{self, Sources};
+use cottondyke::sources::Sources;
 use cottondyke::{config::Config, serve};
 use lexopt::prelude::*;
 use std::process::ExitCode;
@@ -26,13 +26,11 @@
 struct Usage {
     command: String,
     sources: Sources,
-    file: Option<String>,
     log: LevelFilter,
 }
 
 fn usage() -> Result<Usage, lexopt::Error> {
-    let mut usage =
-        Usage { command: String::new(), sources: Sources::default(), file: None, log: LevelFilter::INFO };
+    let mut usage = Usage { command: String::new(), sources: Sources::default(), log: LevelFilter::INFO };
     let mut words = lexopt::Parser::from_env();
     while let Some(word) = words.next()? {
         match word {
@@ -42,9 +40,6 @@
             Long("help") | Short('h') => usage.command = "help".to_string(),
             Long("version") | Short('V') => usage.command = "version".to_string(),
             Value(command) if usage.command.is_empty() => usage.command = command.string()?,
-            Value(file) if usage.command == "evaluate" && usage.file.is_none() => {
-                usage.file = Some(file.string()?);
-            }
             other => return Err(other.unexpected()),
         }
     }
@@ -70,12 +65,6 @@
     match usage.command.as_str() {
         "help" => println!("{HELP}"),
         "version" => println!("cottondyke {}", env!("CARGO_PKG_VERSION")),
-        // What the program calls itself with, to evaluate a script under limits.
-        "evaluate" => {
-            if let Err(wrong) = sources::evaluate(&usage.file.unwrap_or_default()) {
-                return fail(&wrong, 1);
-            }
-        }
         "check" | "serve" => {
             let mut sources = usage.sources;
             sources.config =
--- a/crates/server/src/sources.rs
+++ b/crates/server/src/sources.rs
@@ -1,22 +1,19 @@
 //! The program's two files, read together: the platform's configuration and the operator's script. Either may be
-//! missing. The script is evaluated in a child process under the system's limits, since no interpreter bounds
-//! what one step may take.
+//! missing. The script is evaluated by another program under the system's limits, since no interpreter bounds what
+//! one step may take, and since this one would carry the interpreter's memory for ever.
 use crate::config::Config;
 use cottondyke_operator::{Operator, Wrong};
-use rustix::process::{setrlimit, Resource, Rlimit};
 use std::io::Read;
-use std::path::Path;
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// What a script's evaluation may take: bytes of address space, seconds of a core, seconds in all.
-const MOST_MEMORY: u64 = 512 << 20;
-const MOST_CPU: u64 = 5;
+/// What an evaluation may take in all; it limits its own memory and time on a core.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Bytes of what it declares.
 const MOST_RESULT: u64 = 16 << 20;
-/// The program itself, whatever happened to its file since.
-const MYSELF: &str = "/proc/self/exe";
+/// The program that evaluates, beside this one.
+const EVALUATOR: &str = "cottondyke-script";
 
 /// Where the files are.
 #[derive(Clone, Debug, Default)]
@@ -39,25 +36,21 @@
     }
 }
 
-/// What the child process does: evaluates within limits, and writes the result as JSON.
-pub fn evaluate(path: &str) -> Result<(), String> {
-    let limit = |resource, most| setrlimit(resource, Rlimit { current: Some(most), maximum: Some(most) });
-    limit(Resource::As, MOST_MEMORY).map_err(|e| format!("cannot limit memory: {e}"))?;
-    limit(Resource::Cpu, MOST_CPU).map_err(|e| format!("cannot limit the time: {e}"))?;
-    limit(Resource::Core, 0).map_err(|e| format!("cannot limit the core file: {e}"))?;
-    let result: Result<Operator, Wrong> = cottondyke_operator::evaluate(Path::new(path));
-    serde_json::to_writer(std::io::stdout().lock(), &result).map_err(|e| e.to_string())
+/// It lies beside this program, also where that was replaced while it runs.
+fn evaluator() -> std::io::Result<PathBuf> {
+    std::env::current_exe().map(|own| own.with_file_name(EVALUATOR))
 }
 
 fn evaluated(path: &str) -> Result<Operator, String> {
     let broke = |what: String| format!("{path}: cannot be evaluated: {what}");
-    let mut child = Command::new(MYSELF)
-        .args(["evaluate", path])
+    let evaluator = evaluator().map_err(|e| broke(format!("{EVALUATOR} cannot be found: {e}")))?;
+    let mut child = Command::new(&evaluator)
+        .arg(path)
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
-        .map_err(|e| broke(e.to_string()))?;
+        .map_err(|e| broke(format!("{}: {e}", evaluator.display())))?;
     let stdout = child.stdout.take();
     let reading = std::thread::spawn(move || {
         let mut text = Vec::new();
@@ -80,8 +73,7 @@
     };
     let text = reading.join().ok().and_then(Result::ok).unwrap_or_default();
     if !status.success() {
-        let limits = format!("{} MB and {MOST_CPU} s of a core", MOST_MEMORY >> 20);
-        return Err(broke(format!("it ended with {status}: expected it to need at most {limits}")));
+        return Err(broke(format!("{EVALUATOR} ended with {status}: expected the script to need less")));
     }
     let result: Result<Operator, Wrong> = serde_json::from_slice(&text).map_err(|e| broke(e.to_string()))?;
     result.map_err(|wrong| wrong.to_string())
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -1,7 +1,4 @@
 //! The parsers, fed every split and fuzzed bytes; and the small parts that need no socket.
-#[allow(dead_code)]
-#[path = "../../../examples/toy/peers.rs"]
-mod peers;
 
 use cottondyke::answer::Outlets;
 
@@ -16,7 +13,7 @@
 use cottondyke::wire::WireId;
 use cottondyke::work::Output;
 use cottondyke_decide::types::{CustomerId, HandlerId, ReqId, RunEnd, Time};
-use peers::{frame, payload};
+use cottondyke_standin::peers::{frame, payload};
 use quickcheck::{quickcheck, TestResult};
 use std::fmt::Debug;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/standin/src/dependency.rs
@@ -0,0 +1,248 @@
+//! A dependency of pages: an HTTP/1.1 service that answers from a limited number of workers, slows down past them,
+//! and fails as it is told to. It counts calls that it holds, also those whose callers went away.
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What it does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Takes calls and answers none.
+    Hang,
+    /// Takes this many times its usual time.
+    Slow(u32),
+    /// Resets connections, half of them in the middle of a reply's body.
+    Reset,
+    /// Answers this long after the call came, whatever its usual time.
+    Late(Duration),
+    /// Answers with bodies of the wrong length, of 3 GB, noise, and errors.
+    Spoil,
+    /// Answers at once with an error.
+    Fail,
+    /// Every call in this many takes ten times its usual time.
+    Straggle(u32),
+}
+
+/// What it has counted.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub calls: u64,
+    pub held: u64,
+    /// Most calls held at one time, those whose callers went away among them for as long as they go on.
+    pub most_held: u64,
+    /// Calls of a req that had called before.
+    pub extra: u64,
+    pub good: u64,
+    /// Bytes of a req that stands among those seen, with its number of calls.
+    seen: std::collections::HashMap<String, u32>,
+}
+
+/// How it behaves when nothing is wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// The usual time of a call, drawn from half of it to one and a half.
+    pub time: Duration,
+    /// Calls past this many slow each other down.
+    pub knee: u64,
+    /// How long a call goes on whose caller went away, at the most.
+    pub linger: Duration,
+    pub seed: u64,
+}
+
+struct State {
+    fault: Fault,
+    counts: Counts,
+    random: fastrand::Rng,
+}
+
+struct Inner {
+    shape: Shape,
+    state: Mutex<State>,
+    over: AtomicBool,
+    number: AtomicU64,
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// A running stand-in; it ends when it is dropped.
+pub struct Dependency {
+    pub addr: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+impl Dependency {
+    pub fn start(shape: Shape) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let random = fastrand::Rng::with_seed(shape.seed);
+        let state = State { fault: Fault::None, counts: Counts::default(), random };
+        let inner = Arc::new(Inner {
+            shape,
+            state: Mutex::new(state),
+            over: AtomicBool::new(false),
+            number: AtomicU64::new(0),
+        });
+        let serving = inner.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if serving.over.load(Ordering::Relaxed) {
+                    return;
+                }
+                let inner = serving.clone();
+                // Every wait below has a limit, so every thread ends.
+                let _ = thread::Builder::new().stack_size(128 << 10).spawn(move || {
+                    let _ = serve(&inner, stream);
+                });
+            }
+        });
+        Ok(Dependency { addr, inner })
+    }
+
+    pub fn set(&self, fault: Fault) {
+        self.inner.state().fault = fault;
+    }
+
+    pub fn counts(&self) -> Counts {
+        let state = self.inner.state();
+        Counts { seen: Default::default(), ..state.counts.clone() }
+    }
+}
+
+impl Drop for Dependency {
+    fn drop(&mut self) {
+        self.inner.over.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.addr);
+    }
+}
+
+struct Asked {
+    req: String,
+    body: Vec<u8>,
+}
+
+fn asked(reader: &mut BufReader<TcpStream>) -> io::Result<Asked> {
+    let (mut req, mut length, mut first) = (String::new(), 0, true);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() && !first {
+            break;
+        }
+        first = false;
+        if let Some(id) = line.strip_prefix("Req-Id: ") {
+            req = id.to_string();
+        }
+        if let Some(size) = line.strip_prefix("Content-Length: ") {
+            length = size.parse().map_err(io::Error::other)?;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body)?;
+    Ok(Asked { req, body })
+}
+
+/// Whether the caller has gone away.
+fn left(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    matches!(peeked, Ok(0)) || peeked.is_err_and(|e| e.kind() != io::ErrorKind::WouldBlock)
+}
+
+/// Counts a call as held until it is dropped.
+struct Held<'a>(&'a Inner);
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.state().counts.held -= 1;
+    }
+}
+
+fn serve(inner: &Inner, stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let asked = asked(&mut reader)?;
+        let number = inner.number.fetch_add(1, Ordering::Relaxed);
+        let (fault, held, draw) = {
+            let mut state = inner.state();
+            let state = &mut *state;
+            state.counts.calls += 1;
+            state.counts.held += 1;
+            state.counts.most_held = state.counts.most_held.max(state.counts.held);
+            let calls = state.counts.seen.entry(asked.req).or_default();
+            *calls += 1;
+            state.counts.extra += u64::from(*calls > 1);
+            (state.fault, state.counts.held, state.random.f64())
+        };
+        let held_now = Held(inner);
+        let crowd = (held as f64 / inner.shape.knee as f64).max(1.0);
+        let usual = inner.shape.time.mul_f64((0.5 + draw) * crowd);
+        let time = match fault {
+            Fault::Hang => Duration::from_secs(30),
+            Fault::Slow(times) => usual * times,
+            Fault::Late(time) => time,
+            Fault::Fail | Fault::Reset => Duration::from_micros(200),
+            Fault::Straggle(each) if number % u64::from(each) == 0 => usual * 10,
+            _ => usual,
+        };
+        // A call goes on after its caller left, for as long as this one is built to.
+        let (start, mut gone) = (Instant::now(), None);
+        while start.elapsed() < time {
+            let rest = time.saturating_sub(start.elapsed()).min(Duration::from_millis(5));
+            thread::sleep(rest);
+            if gone.is_none() && left(&writer) {
+                gone = Some(Instant::now());
+            }
+            let over = gone.is_some_and(|at: Instant| at.elapsed() >= inner.shape.linger.mul_f64(0.8));
+            if over || inner.over.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+        }
+        drop(held_now);
+        let body = format!("{{\"of\":{},\"number\":{number}}}", asked.body.len());
+        match fault {
+            Fault::Reset => {
+                if number % 2 == 0 {
+                    write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of")?;
+                }
+                // With bytes of the next request unread a close is a reset; without, it is an early end.
+                return writer.shutdown(Shutdown::Both);
+            }
+            Fault::Fail => write!(writer, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")?,
+            Fault::Spoil => {
+                match number % 5 {
+                    0 => write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{body}")?,
+                    1 => {
+                        write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len() - 3)?
+                    }
+                    2 => write!(writer, "\u{1}\u{2} noise \r\n\r\n")?,
+                    3 => write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{{\"ha\"")?,
+                    _ => {
+                        write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len() + 9)?
+                    }
+                }
+                return writer.shutdown(Shutdown::Write);
+            }
+            _ => {
+                write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+                inner.state().counts.good += 1;
+            }
+        }
+    }
+}
--- a/examples/toy/peers.rs
+++ b/crates/standin/src/peers.rs
@@ -1,5 +1,5 @@
 //! The other sides of the server's protocols, as small as they can be: a sidecar, an engine, an HTTP service.
-//! The toy is made of them, and so are the server's tests.
+//! The toy is made of them, and so are the tests and trials.
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -1,8 +1,6 @@
 //! A toy for trying the server: `toy` stands in for engine, records service and control plane, `toy send TEXT`
 //! sends one req as a sidecar would. Addresses are those of `examples/config.json`.
-#[allow(dead_code)] // the server's tests use the rest
-mod peers;
-use peers::*;
+use cottondyke_standin::peers::*;
 use std::io;
 use std::net::TcpListener;
 use std::thread;
