--- a/crates/depend/src/latency.rs
+++ b/crates/depend/src/latency.rs
@@ -4,7 +4,7 @@
 use hdrhistogram::Histogram;
 
 /// Half of the time over which quantiles look back.
-const SPAN: Time = Time(100_000);
+const SPAN: Time = Time(50_000);
 /// Calls that must have ended before a quantile is believed.
 const ENOUGH: u64 = 30;
 /// The longest time that is told apart, in tenths of a millisecond.
@@ -33,14 +33,17 @@
         Latency { newer: new(), older: new(), turned: now, cached: None, recent: 0.0, usual: 0.0 }
     }
 
-    /// Learns of a call that ended well, late ones among them.
-    pub fn learn(&mut self, now: Time, time: Time) {
+    /// Learns of a call that ended well. Quantiles are of those that ended `in_time`: those of a slow spell would
+    /// put hedging off until long after it.
+    pub fn learn(&mut self, now: Time, time: Time, in_time: bool) {
         if now - self.turned >= SPAN {
             std::mem::swap(&mut self.newer, &mut self.older);
             self.newer.reset();
             (self.turned, self.cached) = (now, None);
         }
-        self.newer.saturating_record(time.0.clamp(1, LONGEST as i64) as u64);
+        if in_time {
+            self.newer.saturating_record(time.0.clamp(1, LONGEST as i64) as u64);
+        }
         let t = time.num().max(1.0);
         if self.usual == 0.0 {
             (self.recent, self.usual) = (t, t);
--- a/crates/depend/src/limit.rs
+++ b/crates/depend/src/limit.rs
@@ -5,6 +5,8 @@
 /// Parts of the limit that stay after a sign of overload, and after a call that shows a queue.
 const OVERLOAD: f64 = 0.7;
 const QUEUE: f64 = 0.95;
+/// Part of the most from which the limit starts again after the breaker closed.
+const RESTART: f64 = 0.25;
 /// From this many times the usual latency on a queue is taken to stand at the dependency.
 const GRADIENT: f64 = 2.0;
 /// The limit grows only where this part of it is in use: unused room proves nothing.
@@ -84,11 +86,10 @@
         }
     }
 
-    /// After the breaker closed: from the floor, and quickly up to half of what it was.
+    /// After the breaker closed: from a part of the most, and by one a call up to it while all goes well.
     pub fn restart(&mut self) {
         if self.adapts {
-            self.slow_start = (self.now / 2.0).max(self.most / 2.0);
-            self.now = self.floor;
+            (self.now, self.slow_start) = ((self.most * RESTART).max(self.floor), self.most);
         }
     }
 }
--- a/crates/depend/src/pages.rs
+++ b/crates/depend/src/pages.rs
@@ -12,6 +12,8 @@
 const RESERVE: Time = Time(100);
 /// Part of its budget for which a call that got no answer in time is still listened to.
 const LISTEN: f64 = 0.5;
+/// A second call that found no place asks again after this.
+const HEDGE_AGAIN: Time = Time(50);
 /// Calls that one step makes, the first among them.
 const TRIES: u32 = 3;
 /// Kept answers and other bodies are handed on as they are; this bounds what one part may bring, in bytes.
@@ -318,7 +320,7 @@
         if let Some(gate) = self.gates.get_mut(&call.gate) {
             gate.over(now, goes_on);
             if matches!(outcome, Outcome::Good(_)) {
-                gate.latency.learn(now, took);
+                gate.latency.learn(now, took, !call.left);
             }
         }
         if goes_on {
@@ -493,9 +495,14 @@
         let (run, part, gate) = (call.run, call.part, call.gate);
         let Some(step) = self.runs.get(&run).map(|r| &r.steps[part]) else { return };
         let alone = step.calls == [id] && step.tries < TRIES;
-        if alone && self.gates.get_mut(&gate).is_some_and(|g| g.extra(now)) {
-            self.gates.entry(gate).and_modify(|g| g.sums.hedges += 1);
+        let until = step.until;
+        let Some(of) = self.gates.get_mut(&gate).filter(|_| alone) else { return };
+        if of.extra(now) {
+            of.sums.hedges += 1;
             self.call(now, run, part, false, out);
+        } else if until - now > of.needs() + HEDGE_AGAIN {
+            // The call that takes long is what fills the limit: a place may come free in time.
+            self.timers.insert((now + HEDGE_AGAIN, Timer::Hedge(id)));
         }
     }
 
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -3,6 +3,7 @@
 mod conns;
 mod engine;
 mod leaving;
+mod pages;
 mod reload;
 mod reqs;
 mod rig;
--- /dev/null
+++ b/crates/server/tests/serve/pages.rs
@@ -0,0 +1,260 @@
+//! Pages composed from dependencies, by the program on its own.
+use crate::rig::*;
+use cottondyke_standin::peers::*;
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::PathBuf;
+
+const HEAD: &str = "fleet(instances = 1)\nserve(listen = \"127.0.0.1:0\", stop = \"1s\")\n";
+
+struct Shop {
+    rig: Alone,
+    catalogue: TcpListener,
+    prices: TcpListener,
+}
+
+fn dependency(name: &str, listener: &TcpListener, budget: &str, more: &str) -> String {
+    let addr = listener.local_addr().unwrap();
+    format!("dependency({name:?}, addr = \"{addr}\", budget = {budget:?}, ceiling = 4, linger = \"20ms\"{more})\n")
+}
+
+fn script(catalogue: &TcpListener, prices: &TcpListener, effect: &str, parts: &str) -> String {
+    format!(
+        "{HEAD}handler(\"browse\", effect = {effect:?}, response_target = \"3s\", client_timeout = \"6s\")\n{}{}{}",
+        dependency("catalogue", catalogue, "2s", ", retries = 1"),
+        dependency("prices", prices, "300ms", ", replies = \"json\""),
+        format_args!("page(\"browse\", parts = [{parts}])\n")
+    )
+}
+
+const PARTS: &str =
+    "part(\"catalogue\", required = True), part(\"prices\", fallbacks = [kept(\"1m\"), leave_out()])";
+
+impl Shop {
+    fn start(effect: &str, parts: &str) -> Self {
+        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let (catalogue, prices) = (bind(), bind());
+        let rig = Alone::start(&script(&catalogue, &prices, effect, parts));
+        Shop { rig, catalogue, prices }
+    }
+
+    fn ask(&self, number: u32) -> Sidecar {
+        let mut sidecar = Sidecar::connect(self.rig.addr).unwrap();
+        ask(&mut sidecar, number, "browse", &[], b"shoes");
+        sidecar
+    }
+}
+
+/// The next call to a dependency.
+fn called(listener: &TcpListener) -> (Service, Asked) {
+    let mut service = Service::accept(listener).unwrap();
+    let asked = service.asked().unwrap();
+    (service, asked)
+}
+
+fn good(listener: &TcpListener, body: &[u8]) -> Service {
+    let (mut service, _) = called(listener);
+    service.reply("200 OK", "", body).unwrap();
+    service
+}
+
+fn parts(heard: &Heard) -> Value {
+    serde_json::from_slice::<Value>(&heard.body).unwrap()["parts"].clone()
+}
+
+/// Guards the head of answers: whole ones are never flagged, partial ones always, and kept ones tell their age.
+#[test]
+fn a_partial_answer_is_flagged_and_a_whole_one_is_not() {
+    let shop = Shop::start("replayable", PARTS);
+    let mut sidecar = shop.ask(1);
+    let mut catalogue = good(&shop.catalogue, b"a list");
+    let (mut prices, asked) = called(&shop.prices);
+    assert_eq!((asked.header("Req-Id"), asked.body.as_slice()), (Some(id(1).as_str()), &b"shoes"[..]));
+    let left: u64 = asked.header("Time-Left-Ms").unwrap().parse().unwrap();
+    assert!((100..=300).contains(&left), "{left}");
+    prices.reply("200 OK", "", b"{\"price\": 3}").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.code, heard.field("partial")), (1, None));
+    assert_eq!(parts(&heard)["prices"], json!({ "state": "whole", "body": { "price": 3 } }));
+    // The same connections serve the next; prices never answers, and its last answer was kept.
+    ask(&mut sidecar, 2, "browse", &[], b"shoes");
+    catalogue.asked().unwrap();
+    catalogue.reply("200 OK", "", b"a list").unwrap();
+    prices.asked().unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.code, heard.field("partial")), (1, Some("prices")));
+    let kept = &parts(&heard)["prices"];
+    assert_eq!((&kept["state"], &kept["body"]["price"]), (&json!("kept"), &json!(3)));
+    assert!(kept["age_ms"].as_u64().unwrap() >= 100, "{kept}");
+}
+
+/// Guards customers: what one asked for is never handed to what another asks.
+#[test]
+fn kept_answers_belong_to_their_request() {
+    let shop = Shop::start("replayable", PARTS);
+    let mut sidecar = shop.ask(1);
+    let mut catalogue = good(&shop.catalogue, b"a list");
+    drop(good(&shop.prices, b"1"));
+    assert_eq!(sidecar.hear().unwrap().field("partial"), None);
+    ask(&mut sidecar, 2, "browse", &[], b"boots");
+    catalogue.asked().unwrap();
+    catalogue.reply("200 OK", "", b"a list").unwrap();
+    let _hangs = called(&shop.prices);
+    let heard = sidecar.hear().unwrap();
+    assert_eq!(parts(&heard)["prices"], json!({ "state": "missing" }));
+}
+
+/// Guards against an answer that comes after its budget: it is dropped, and reaches no later req.
+#[test]
+fn an_answer_after_its_budget_reaches_nobody() {
+    let shop = Shop::start("replayable", "part(\"prices\", fallbacks = [leave_out()])");
+    let mut sidecar = shop.ask(1);
+    let (mut prices, _) = called(&shop.prices);
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.code, heard.field("partial")), (1, Some("prices")));
+    // Within the time for which it is still listened to.
+    let _ = prices.reply("200 OK", "", b"\"late\"");
+    ask(&mut sidecar, 2, "browse", &[], b"shoes");
+    let again = prices.asked();
+    let mut other;
+    let now = if again.is_ok() {
+        &mut prices
+    } else {
+        other = called(&shop.prices).0;
+        &mut other
+    };
+    now.reply("200 OK", "", b"\"new\"").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!(parts(&heard)["prices"], json!({ "state": "whole", "body": "new" }));
+}
+
+/// Guards pages against spoilt replies of every kind: none is taken for an answer.
+#[test]
+fn spoilt_replies_are_no_answers() {
+    for odd in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]",
+        "HTTP/1.1 200 OK\r\n\r\n{}",
+        "noise\r\n\r\n",
+        "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+        "",
+    ] {
+        let shop = Shop::start("replayable", "part(\"prices\", fallbacks = [fixed({\"price\": None})])");
+        let mut sidecar = shop.ask(1);
+        let (mut prices, _) = called(&shop.prices);
+        prices.0.get_mut().write_all(odd.as_bytes()).unwrap();
+        drop(prices);
+        let heard = sidecar.hear().unwrap();
+        assert_eq!((heard.code, heard.field("partial")), (1, Some("prices")), "{odd}");
+        assert_eq!(parts(&heard)["prices"], json!({ "state": "fixed", "body": { "price": null } }), "{odd}");
+    }
+}
+
+/// Guards effects: for a handler that must not run twice, a call that may have run is never made again, and goes on
+/// a connection of its own; where it is known not to have run, it is.
+#[test]
+fn a_call_that_may_have_run_is_never_repeated() {
+    for effect in ["uniqued", "non-replayable"] {
+        let shop = Shop::start(effect, "part(\"catalogue\", required = True)");
+        let mut sidecar = shop.ask(1);
+        let (catalogue, _) = called(&shop.catalogue);
+        drop(catalogue);
+        assert_eq!(sidecar.hear().unwrap().code, 9, "{effect}");
+        shop.catalogue.set_nonblocking(true).unwrap();
+        assert!(shop.catalogue.accept().is_err(), "{effect}: it was called again");
+        shop.catalogue.set_nonblocking(false).unwrap();
+        // Turned away unread: that never ran.
+        let mut sidecar = shop.ask(2);
+        let (mut catalogue, _) = called(&shop.catalogue);
+        catalogue.reply("503 Busy", "Op-Not-Begun: 1\r\n", b"").unwrap();
+        let (mut again, _) = called(&shop.catalogue);
+        again.reply("200 OK", "", b"done").unwrap();
+        assert_eq!(sidecar.hear().unwrap().code, 1, "{effect}");
+    }
+}
+
+/// Guards required parts: without one the answer is errored at once, whatever else is still out.
+#[test]
+fn without_a_required_part_the_answer_is_errored() {
+    let shop = Shop::start("non-replayable", PARTS);
+    let mut sidecar = shop.ask(1);
+    let _prices = called(&shop.prices);
+    let (mut catalogue, _) = called(&shop.catalogue);
+    catalogue.reply("500 No", "", b"").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.code, heard.field("partial")), (9, None));
+}
+
+/// Guards leaving: pages half composed are answered with what there is, and the program ends in its time.
+#[test]
+fn leaving_answers_pages_that_are_half_composed() {
+    let mut shop = Shop::start(
+        "replayable",
+        "part(\"catalogue\", fallbacks = [leave_out()]), part(\"prices\", fallbacks = [leave_out()])",
+    );
+    let mut sidecar = shop.ask(1);
+    drop(good(&shop.prices, b"7"));
+    let (mut hangs, _) = called(&shop.catalogue);
+    shop.rig.signal("-TERM");
+    let heard = loop {
+        let heard = sidecar.hear().unwrap();
+        if heard.kind == 2 {
+            break heard;
+        }
+    };
+    assert_eq!((heard.code, heard.field("partial")), (1, Some("catalogue")));
+    assert_eq!(parts(&heard)["prices"]["body"], json!(7));
+    assert_eq!(hangs.0.read(&mut [0]).unwrap_or(0), 0, "the call is given up");
+    let (status, took) = shop.rig.ended();
+    assert!(status.success() && took.as_millis() < 3_000, "{status} {took:?}");
+}
+
+/// Guards reqs in progress and the file in force: a req ends under the file that it began with, also where that
+/// takes its dependency away; a bad file changes nothing.
+#[test]
+fn a_file_read_anew_takes_effect_for_what_starts_then() {
+    let shop = Shop::start("replayable", PARTS);
+    let mut sidecar = shop.ask(1);
+    let (mut catalogue, _) = called(&shop.catalogue);
+    let (mut prices, _) = called(&shop.prices);
+    shop.rig.reload("page(", "the old one stays in force");
+    let other = script(&shop.catalogue, &shop.prices, "uniqued", PARTS);
+    shop.rig.reload(&other, "cannot be obeyed");
+    let fewer = format!(
+        "{HEAD}handler(\"browse\", effect = \"replayable\", response_target = \"3s\", client_timeout = \"6s\")\n{}{}",
+        dependency("catalogue", &shop.catalogue, "1s", ""),
+        "page(\"browse\", parts = [part(\"catalogue\", required = True)])\n"
+    );
+    shop.rig.reload(&fewer, "was read anew");
+    prices.reply("200 OK", "", b"1").unwrap();
+    catalogue.reply("200 OK", "", b"old").unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.code, parts(&heard).as_object().unwrap().len()), (1, 2));
+    ask(&mut sidecar, 2, "browse", &[], b"shoes");
+    catalogue.asked().unwrap();
+    catalogue.reply("200 OK", "", b"new").unwrap();
+    assert_eq!(parts(&sidecar.hear().unwrap()), json!({ "catalogue": { "state": "whole", "body": "new" } }));
+}
+
+/// Guards start-up: a bad script is one line on standard error, and an exit code that says so.
+#[test]
+fn a_bad_script_is_told_in_one_line() {
+    let eats = "x = [\"a\" * 100000000 for i in range(1000)]\n";
+    for (text, told) in
+        [("page(\"x\")", "shop.star:1:"), (eats, "cannot be evaluated"), ("serve(", "Parse error")]
+    {
+        let folder = std::env::temp_dir().join(format!("cottondyke-bad-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let path: PathBuf = folder.join("shop.star");
+        std::fs::write(&path, text).unwrap();
+        for command in ["check", "serve"] {
+            let (code, said) = said(&[command, "--operator", path.to_str().unwrap()]);
+            assert_eq!((code, said.lines().count()), (Some(2), 1), "{said}");
+            assert!(said.contains(told) || told == "cannot be evaluated" && said.contains("limit"), "{said}");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -1,5 +1,7 @@
 //! A toy for trying the server: `toy` stands in for engine, records service and control plane, `toy send TEXT`
-//! sends one req as a sidecar would. Addresses are those of `examples/config.json`.
+//! sends one req as a sidecar would; addresses are those of `examples/config.json`. `toy shop [FAULT]` stands in for
+//! the dependencies of `examples/pages/shop.star`, the prices with a fault, and `toy browse TEXT` asks for its page.
+use cottondyke_standin::dependency::{Dependency, Fault, Shape};
 use cottondyke_standin::peers::*;
 use std::io;
 use std::net::TcpListener;
@@ -71,11 +73,29 @@
     Ok(())
 }
 
-fn send(text: &str) -> io::Result<()> {
+fn shop(fault: Fault) -> io::Result<()> {
+    let shape = |seed| Shape {
+        time: std::time::Duration::from_millis(40),
+        knee: 24,
+        linger: std::time::Duration::from_millis(300),
+        seed,
+    };
+    let places = [8101, 8102, 8103].into_iter().zip(0..);
+    let all: io::Result<Vec<_>> =
+        places.map(|(port, seed)| Dependency::start_at(([127, 0, 0, 1], port).into(), shape(seed))).collect();
+    let all = all?;
+    all[1].set(fault);
+    println!("catalogue, prices and stock on 127.0.0.1:8101 to 8103; prices: {fault:?}");
+    loop {
+        thread::park();
+    }
+}
+
+fn send(class: &str, text: &str) -> io::Result<()> {
     let mut sidecar = Sidecar::connect(SERVER.parse().map_err(io::Error::other)?)?;
     let (id, at) = (format!("{:016x}", unix_ms()), unix_ms().to_string());
     let fields = [
-        ("class", "greet"),
+        ("class", class),
         ("id", id.as_str()),
         ("at", at.as_str()),
         ("from", "0"),
@@ -98,9 +118,17 @@
     let words: Vec<String> = std::env::args().skip(1).collect();
     match words.first().map(String::as_str) {
         None => serve(),
-        Some("send") => send(&words[1..].join(" ")),
+        Some("send") => send("greet", &words[1..].join(" ")),
+        Some("browse") => send("browse", &words[1..].join(" ")),
+        Some("shop") => match words.get(1).map(String::as_str) {
+            None => shop(Fault::None),
+            Some("hang") => shop(Fault::Hang),
+            Some("fail") => shop(Fault::Fail),
+            Some("reset") => shop(Fault::Reset),
+            Some(other) => Err(io::Error::other(format!("{other}: expected hang, fail or reset"))),
+        },
         Some(_) => {
-            eprintln!("usage: toy [send TEXT]");
+            eprintln!("usage: toy [send TEXT | shop [hang|fail|reset] | browse TEXT]");
             std::process::exit(2);
         }
     }
