Use connections to dependencies again: a decoded body is taken out of what came

The decoder left the body among its bytes, so no connection ever counted as clean after its reply: each call to a dependency opened its own.

--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -43,8 +43,11 @@
         return sources.read();
     }
     let (sources, (told, read)) = (sources.clone(), async_channel::bounded(1));
-    std::thread::spawn(move || told.try_send(sources.read()));
-    read.recv().await.unwrap_or_else(|_| Err("reading the files anew panicked".to_string()))
+    std::thread::spawn(move || {
+        let _ = told.try_send(Box::new(sources.read()));
+    });
+    let read = read.recv().await.map(|read| *read);
+    read.unwrap_or_else(|_| Err("reading the files anew panicked".to_string()))
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/server/src/wire/http.rs
+++ b/crates/server/src/wire/http.rs
@@ -66,6 +66,7 @@
         match body {
             Body::Sized(length) if self.pending.rest().len() >= length => {
                 reply.body = self.pending.rest()[..length].to_vec();
+                self.pending.take(length);
                 return Ok(Some(reply));
             }
             Body::Chunked if self.chunks(&mut reply.body)? => return Ok(Some(reply)),
--- a/crates/standin/src/dependency.rs
+++ b/crates/standin/src/dependency.rs
@@ -214,7 +214,7 @@
             Fault::Slow(times) => usual * times,
             Fault::Late(time) => time,
             Fault::Fail | Fault::Reset => Duration::from_micros(200),
-            Fault::Straggle(each) if number % u64::from(each) == 0 => usual * 10,
+            Fault::Straggle(each) if number.is_multiple_of(u64::from(each)) => usual * 10,
             _ => usual,
         };
         // A call goes on after its caller left, for as long as this one is built to.
@@ -226,7 +226,7 @@
         let body = format!("{{\"of\":{},\"number\":{number}}}", asked.body.len());
         match fault {
             Fault::Reset => {
-                if number % 2 == 0 {
+                if number.is_multiple_of(2) {
                     write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of")?;
                 }
                 // With bytes of the next request unread a close is a reset; without, it is an early end.
