--- a/crates/depend/src/latency.rs
+++ b/crates/depend/src/latency.rs
@@ -9,8 +9,9 @@
 const ENOUGH: u64 = 30;
 /// The longest time that is told apart, in tenths of a millisecond.
 const LONGEST: u64 = 600_000;
-/// A quantile is reckoned anew after this many further calls.
-const STALE: u64 = 16;
+/// A quantile is reckoned anew after this many further calls. Each is asked for at every call; without this, and
+/// with one place for all of them, it was a seventh of what a page costs.
+const STALE: u64 = 32;
 /// Weights of the newest in the recent mean, and in the usual one as it falls and as it rises.
 const RECENT: f64 = 0.1;
 const FALLS: f64 = 0.02;
@@ -21,7 +22,8 @@
     newer: Histogram<u32>,
     older: Histogram<u32>,
     turned: Time,
-    cached: Option<(u64, f64, Time)>,
+    /// Quantiles that were asked for: the part, the count of calls by then, the time.
+    cached: Vec<(f64, u64, Time)>,
     recent: f64,
     usual: f64,
 }
@@ -30,7 +32,7 @@
     pub fn new(now: Time) -> Self {
         // Two significant digits suffice, and the bounds are constants that fit.
         let new = || Histogram::new_with_bounds(1, LONGEST, 2).expect("constant bounds");
-        Latency { newer: new(), older: new(), turned: now, cached: None, recent: 0.0, usual: 0.0 }
+        Latency { newer: new(), older: new(), turned: now, cached: Vec::new(), recent: 0.0, usual: 0.0 }
     }
 
     /// Learns of a call that ended well. Quantiles are of those that ended `in_time`: those of a slow spell would
@@ -39,7 +41,8 @@
         if now - self.turned >= SPAN {
             std::mem::swap(&mut self.newer, &mut self.older);
             self.newer.reset();
-            (self.turned, self.cached) = (now, None);
+            self.turned = now;
+            self.cached.clear();
         }
         if in_time {
             self.newer.saturating_record(time.0.clamp(1, LONGEST as i64) as u64);
@@ -59,15 +62,19 @@
         if count < ENOUGH {
             return None;
         }
-        if let Some((at, of, time)) = self.cached {
-            if of == part && count - at.min(count) < STALE {
+        let known = self.cached.iter().position(|(of, _, _)| *of == part);
+        if let Some((_, at, time)) = known.map(|place| self.cached[place]) {
+            if count - at.min(count) < STALE {
                 return Some(time);
             }
         }
         let mut all = self.older.clone();
         let _ = all.add(&self.newer);
         let time = Time(all.value_at_quantile(part.clamp(0.0, 1.0)) as i64);
-        self.cached = Some((count, part, time));
+        match known {
+            Some(place) => self.cached[place] = (part, count, time),
+            None => self.cached.push((part, count, time)),
+        }
         Some(time)
     }
 
