Errors no longer shrink a limit, and a reopened one comes back to what it held well

A breaker that closed let the limit run to its most, so a dependency that survives a third of its ceiling was overloaded again at once; errors, which say nothing of load, had shrunk it.

--- a/crates/depend/src/gate.rs
+++ b/crates/depend/src/gate.rs
@@ -37,7 +37,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Learnt {
     Well,
+    /// It failed, which says nothing of the load.
     Ill,
+    /// It got no answer in time, or was turned away.
+    Overload,
     /// It says nothing of the dependency.
     Nothing,
 }
@@ -163,11 +166,11 @@
                     self.limit.restart();
                 }
             }
-            Learnt::Ill => {
+            Learnt::Ill | Learnt::Overload => {
                 self.sums.ill += 1;
                 self.breaker.ended(now, probe, false, draw);
                 // Single failures are no overload; nor do they fit a limit that falls by a part for each.
-                if self.breaker.failing(now) >= TOLERATED {
+                if learnt == Learnt::Overload && self.breaker.failing(now) >= TOLERATED {
                     self.limit.ended(now, Sign::Overload, 1.0, held, round);
                 }
             }
--- a/crates/depend/src/limit.rs
+++ b/crates/depend/src/limit.rs
@@ -73,8 +73,9 @@
         };
         match falls {
             Some(part) if now >= self.rests => {
+                // The most that it held well lately bounds how quickly it comes back.
+                self.slow_start = self.now * part;
                 self.now = (self.now * part).max(self.floor);
-                self.slow_start = self.now;
                 self.rests = now + round;
             }
             Some(_) => {}
@@ -86,10 +87,11 @@
         }
     }
 
-    /// After the breaker closed: from a part of the most, and by one a call up to it while all goes well.
+    /// After the breaker closed: from a part of the most, and by one a call up to where it stood before.
     pub fn restart(&mut self) {
         if self.adapts {
-            (self.now, self.slow_start) = ((self.most * RESTART).max(self.floor), self.most);
+            self.slow_start = self.slow_start.max(self.now);
+            self.now = self.now.min(self.most * RESTART).max(self.floor);
         }
     }
 }
--- a/crates/depend/src/pages.rs
+++ b/crates/depend/src/pages.rs
@@ -329,7 +329,8 @@
         let learnt = match outcome {
             _ if call.left => None,
             Outcome::Good(_) => Some(Learnt::Well),
-            Outcome::Failed | Outcome::Refused | Outcome::Lost => Some(Learnt::Ill),
+            Outcome::Failed => Some(Learnt::Ill),
+            Outcome::Refused | Outcome::Lost => Some(Learnt::Overload),
             Outcome::Unfit | Outcome::Stale => Some(Learnt::Nothing),
         };
         if let Some(learnt) = learnt {
@@ -551,7 +552,7 @@
             g.sums.late += 1;
             g.fair(within)
         });
-        let learnt = if fair { Learnt::Ill } else { Learnt::Nothing };
+        let learnt = if fair { Learnt::Overload } else { Learnt::Nothing };
         self.learn(now, gate, probe, learnt, out);
         out.push(Action::GiveUp { call: id, listen });
         if listen <= Time(0) {
--- a/crates/lab/src/trials/dependencies.rs
+++ b/crates/lab/src/trials/dependencies.rs
@@ -17,6 +17,8 @@
 const FAULT: f64 = 2.75;
 const REST: f64 = 2.25;
 const LAST_REST: f64 = 3.0;
+/// What a dependency survives in the spell before the last.
+const WEAK: u64 = CEILING / 3;
 /// Every call in so many straggles in the last spell.
 const STRAGGLER: u32 = 60;
 const DEFENCES: [&str; 7] = ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback"];
@@ -40,7 +42,7 @@
     let mut together = vec![1, 3, 2, 2];
     random.shuffle(&mut together);
     for count in together {
-        if from + 2.0 * FAULT + REST + LAST_REST > seconds && !spells.is_empty() {
+        if from + 3.0 * FAULT + 2.0 * REST + LAST_REST > seconds && !spells.is_empty() {
             break;
         }
         let mut places = vec![0, 1, 2];
@@ -49,6 +51,9 @@
         spells.push(Spell { from, to: from + FAULT, faults: faults.collect() });
         from += FAULT + REST;
     }
+    // One survives a quarter of what it should: the more it holds, the less it does.
+    spells.push(Spell { from, to: from + FAULT, faults: vec![(random.usize(0..3), Fault::Weak(WEAK))] });
+    from += FAULT + REST;
     // Last, no dependency fails, but some calls of all three take ten times their time.
     let faults = (0..3).map(|place| (place, Fault::Straggle(STRAGGLER))).collect();
     spells.push(Spell { from, to: from + FAULT, faults });
@@ -116,7 +121,7 @@
         }
         off.push(without);
     }
-    let seconds = usage.seconds.unwrap_or(31) as f64;
+    let seconds = usage.seconds.unwrap_or(36) as f64;
     let mut random = fastrand::Rng::with_seed(usage.seed);
     let spells = schedule(&mut random, seconds);
     let fleets = [
@@ -185,6 +190,10 @@
     outcome.at_most("extra calls as a part of first ones", extra.fold(0.0, f64::max), RETRIES);
     let calm: Vec<_> = story.within(0.0, CALM - 0.5).collect();
     let whole = calm.iter().filter(|w| w.done && !w.partial).count();
+    let weak = spells.iter().rev().nth(1).map_or((0.0, 0.0), |s| (s.from + 0.5, s.to));
+    let all_then: Vec<_> = story.within(weak.0, weak.1).collect();
+    let whole_then = all_then.iter().filter(|w| w.done && !w.partial && !w.late).count() as f64;
+    outcome.figure("part whole while one is weak", whole_then / all_then.len().max(1) as f64);
     let straggling = spells.last().map_or((0.0, 0.0), |s| (s.from + 0.5, s.to));
     let all_then: Vec<_> = story.within(straggling.0, straggling.1).collect();
     let whole_then = all_then.iter().filter(|w| w.done && !w.partial && !w.late).count() as f64;
--- a/crates/standin/src/dependency.rs
+++ b/crates/standin/src/dependency.rs
@@ -26,6 +26,8 @@
     Spoil,
     /// Answers at once with an error.
     Fail,
+    /// Survives fewer calls than usual: past this many, each takes longer by the square of how far.
+    Weak(u64),
     /// Every call in this many takes ten times its usual time.
     Straggle(u32),
 }
@@ -212,6 +214,7 @@
         let time = match fault {
             Fault::Hang => Duration::from_secs(30),
             Fault::Slow(times) => usual * times,
+            Fault::Weak(knee) => usual.mul_f64((held as f64 / knee as f64).max(1.0).powi(2)),
             Fault::Late(time) => time,
             Fault::Fail | Fault::Reset => Duration::from_micros(200),
             Fault::Straggle(each) if number.is_multiple_of(u64::from(each)) => usual * 10,
