--- a/crates/depend/src/breaker.rs
+++ b/crates/depend/src/breaker.rs
@@ -77,12 +77,14 @@
         }
     }
 
-    /// A probe was sent.
-    pub fn probing(&mut self) {
+    /// A probe was sent; true if it is the first since the breaker opened.
+    pub fn probing(&mut self) -> bool {
         self.probes += 1;
-        if let Stage::Open { .. } = self.stage {
+        let first = matches!(self.stage, Stage::Open { .. });
+        if first {
             self.stage = Stage::HalfOpen { good: 0 };
         }
+        first
     }
 
     /// A probe ended that says nothing of the dependency.
--- a/crates/depend/src/gate.rs
+++ b/crates/depend/src/gate.rs
@@ -3,7 +3,7 @@
 //! the limit never passes the share.
 use crate::breaker::{Breaker, Pass, Stage};
 use crate::latency::Latency;
-use crate::limit::{Limit, Sign};
+use crate::limit::Limit;
 use crate::plan::{Defences, Dependency};
 use crate::retry::RetryBudget;
 use cottondyke_decide::types::{ReqId, Time};
@@ -74,12 +74,17 @@
     /// Calls of a former life of this instance, and when they are over.
     ghosts: (usize, Time),
     limited: bool,
+    /// What waited when the file was last read anew, whatever it now allows.
+    waited: usize,
+    /// The limit that the log was last told.
+    told: usize,
 }
 
 impl Gate {
     /// `restarted`: whether a former life of this instance may have left calls there.
     pub fn new(now: Time, spec: Rc<Dependency>, defences: Defences, restarted: bool) -> Self {
-        let ghosts = if restarted && defences.limit { (spec.share, now + spec.linger) } else { (0, now) };
+        let blind = restarted && defences.limit && defences.restart;
+        let ghosts = if blind { (spec.share, now + spec.linger) } else { (0, now) };
         Gate {
             limit: Limit::new(spec.floor, spec.share, defences.adapt),
             breaker: Breaker::new(now, defences.breaker),
@@ -91,6 +96,8 @@
             lingering: Vec::new(),
             ghosts,
             limited: defences.limit,
+            waited: 0,
+            told: spec.share,
             spec,
         }
     }
@@ -101,6 +108,7 @@
         self.breaker.enable(defences.breaker);
         self.retries.set(spec.retries);
         self.limited = defences.limit;
+        self.waited = self.waiting.len();
         self.spec = spec;
     }
 
@@ -110,6 +118,11 @@
         self.in_hand + lingering + ghosts
     }
 
+    /// The most that may wait now.
+    pub fn most_waiting(&self) -> usize {
+        self.spec.waiting.max(self.waited)
+    }
+
     pub fn in_hand(&self) -> usize {
         self.in_hand
     }
@@ -136,12 +149,16 @@
         self.waiting.is_empty() && self.verdict(now) == (Verdict::Go { probe: false }) && self.retries.take()
     }
 
-    /// A call goes out.
-    pub fn sent(&mut self, probe: bool) {
+    /// A call goes out; true if the breaker changed its stage by it.
+    pub fn sent(&mut self, probe: bool) -> bool {
         self.in_hand += 1;
-        if probe {
-            self.breaker.probing();
-        }
+        probe && self.breaker.probing()
+    }
+
+    /// The limit before and now, where it changed since this was last asked.
+    pub fn changed(&mut self) -> Option<(usize, usize)> {
+        let before = std::mem::replace(&mut self.told, self.limit.calls());
+        (before != self.told).then_some((before, self.told))
     }
 
     /// A call is in hand no more; where it `goes_on`, it is held for as long as it may.
@@ -157,11 +174,11 @@
     pub fn learn(&mut self, now: Time, probe: bool, learnt: Learnt, draw: f64) -> bool {
         let before = std::mem::discriminant(&self.breaker.stage());
         let round = self.latency.usual().unwrap_or(FIRST_ROUND);
-        let held = self.held(now) + 1;
         match learnt {
             Learnt::Well => {
+                let held = self.held(now) + 1;
                 self.sums.well += 1;
-                self.limit.ended(now, Sign::Well, self.latency.gradient(), held, round);
+                self.limit.well(now, self.latency.gradient(), held, round);
                 if self.breaker.ended(now, probe, true, draw) {
                     self.limit.restart();
                 }
@@ -171,7 +188,7 @@
                 self.breaker.ended(now, probe, false, draw);
                 // Single failures are no overload; nor do they fit a limit that falls by a part for each.
                 if learnt == Learnt::Overload && self.breaker.failing(now) >= TOLERATED {
-                    self.limit.ended(now, Sign::Overload, 1.0, held, round);
+                    self.limit.overload(now, round);
                 }
             }
             Learnt::Nothing => self.breaker.no_word(probe),
--- a/crates/depend/src/lib.rs
+++ b/crates/depend/src/lib.rs
@@ -16,4 +16,4 @@
 pub mod retry;
 
 pub use pages::{Action, Answer, CallId, Outcome, Pages, PartEnd, Start, State};
-pub use plan::{Defences, Dependency, Fallback, Page, Part, Plan};
+pub use plan::{Defences, Dependency, Fallback, Page, Part, Plan, RESERVE};
--- a/crates/depend/src/limit.rs
+++ b/crates/depend/src/limit.rs
@@ -12,13 +12,6 @@
 /// The limit grows only where this part of it is in use: unused room proves nothing.
 const USED: f64 = 0.5;
 
-/// What a call's end says of the dependency's load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sign {
-    Well,
-    Overload,
-}
-
 #[derive(Clone, Debug)]
 pub struct Limit {
     floor: f64,
@@ -57,33 +50,28 @@
         self.now as usize
     }
 
-    pub fn at_floor(&self) -> bool {
-        self.now <= self.floor
+    /// A call ended well, one of `held`. `gradient`: how many times longer than usual calls take of late; `round`:
+    /// their usual time.
+    pub fn well(&mut self, now: Time, gradient: f64, held: usize, round: Time) {
+        if gradient > GRADIENT {
+            self.fall(now, QUEUE, round);
+        } else if self.adapts && held as f64 >= self.now * USED {
+            let step = if self.now < self.slow_start { 1.0 } else { 1.0 / self.now };
+            self.now = (self.now + step).min(self.most);
+        }
+    }
+
+    /// A call's end shows overload.
+    pub fn overload(&mut self, now: Time, round: Time) {
+        self.fall(now, OVERLOAD, round);
     }
 
-    /// `held` calls while it was in hand; `round`: the usual time of a call.
-    pub fn ended(&mut self, now: Time, sign: Sign, gradient: f64, held: usize, round: Time) {
-        if !self.adapts {
-            return;
-        }
-        let falls = match sign {
-            Sign::Overload => Some(OVERLOAD),
-            Sign::Well if gradient > GRADIENT => Some(QUEUE),
-            Sign::Well => None,
-        };
-        match falls {
-            Some(part) if now >= self.rests => {
-                // The most that it held well lately bounds how quickly it comes back.
-                self.slow_start = self.now * part;
-                self.now = (self.now * part).max(self.floor);
-                self.rests = now + round;
-            }
-            Some(_) => {}
-            None if (held as f64) < self.now * USED => {}
-            None => {
-                let step = if self.now < self.slow_start { 1.0 } else { 1.0 / self.now };
-                self.now = (self.now + step).min(self.most);
-            }
+    fn fall(&mut self, now: Time, part: f64, round: Time) {
+        if self.adapts && now >= self.rests {
+            // The most that it held well lately bounds how quickly it comes back.
+            self.slow_start = self.now * part;
+            self.now = self.slow_start.max(self.floor);
+            self.rests = now + round;
         }
     }
 
--- a/crates/depend/src/pages.rs
+++ b/crates/depend/src/pages.rs
@@ -1,23 +1,19 @@
 //! Composes pages: one run for each started req, with a step in hand for each of its parts. Every call that goes
 //! out ends once, by `ended` or by being given up without listening; every run ends once, by `Action::Ended`.
 use crate::breaker::Stage;
-use crate::gate::{Gate, Learnt, Sums, Verdict};
+use crate::gate::{Gate, Learnt, Verdict};
 use crate::kept::{Kept, Key};
-use crate::plan::{Defences, Dependency, Fallback, Part, Plan};
+use crate::plan::{Dependency, Fallback, Part, Plan, RESERVE};
 use cottondyke_decide::types::{CustomerId, ReqId, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Kept back of the time left, for composing and sending the answer.
-const RESERVE: Time = Time(100);
 /// Part of its budget for which a call that got no answer in time is still listened to.
 const LISTEN: f64 = 0.5;
 /// A second call that found no place asks again after this.
 const HEDGE_AGAIN: Time = Time(50);
 /// Calls that one step makes, the first among them.
 const TRIES: u32 = 3;
-/// Kept answers and other bodies are handed on as they are; this bounds what one part may bring, in bytes.
-pub const MOST_BODY: usize = 262_144;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
@@ -162,6 +158,11 @@
     Frees(GateId),
 }
 
+fn gate_changed(gate: &Gate) -> Action {
+    let (dependency, stage, limit) = (gate.spec.name.clone(), gate.stage(), gate.limit.calls());
+    Action::Changed { dependency, stage, limit }
+}
+
 /// A plan, and the gates of its dependencies.
 #[derive(Debug)]
 struct Force {
@@ -187,14 +188,8 @@
 impl Pages {
     /// `restarted`: whether a former life of this instance may have left calls at the dependencies.
     pub fn new(now: Time, plan: Plan, seed: u64, restarted: bool) -> Self {
-        let empty = Plan {
-            dependencies: Vec::new(),
-            pages: Vec::new(),
-            kept_bytes: 0,
-            defences: Defences::default(),
-        };
         let mut pages = Pages {
-            force: Rc::new(Force { plan: empty, gates: Vec::new() }),
+            force: Rc::new(Force { plan: Plan::default(), gates: Vec::new() }),
             gates: BTreeMap::new(),
             next_gate: 0,
             runs: BTreeMap::new(),
@@ -346,8 +341,7 @@
         let draw = self.random.f64();
         let Some(gate) = self.gates.get_mut(&gate) else { return };
         if gate.learn(now, probe, learnt, draw) {
-            let (dependency, stage, limit) = (gate.spec.name.clone(), gate.stage(), gate.limit.calls());
-            out.push(Action::Changed { dependency, stage, limit });
+            out.push(gate_changed(gate));
         }
     }
 
@@ -479,7 +473,10 @@
             let (body, reuse) = (run.start.body.clone(), run.start.may_repeat);
             let since = now;
             if let Some(gate) = self.gates.get_mut(&gate_id) {
-                gate.sent(probe);
+                let changed = gate.sent(probe);
+                if changed {
+                    out.push(gate_changed(gate));
+                }
                 let to = run.force.gates.iter().position(|g| *g == gate_id);
                 let to = to.map_or(gate.spec.clone(), |at| run.force.plan.dependencies[at].clone());
                 out.push(Action::Call { call, run: id, to, body, within, reuse });
@@ -517,7 +514,7 @@
         }
         let gate = step.gate;
         for call in step.calls.clone() {
-            self.leave_call(now, call, LISTEN, out);
+            self.late(now, call, out);
         }
         self.leave_queue(gate, id, place);
         self.fall_back(now, id, place, out);
@@ -543,44 +540,35 @@
     }
 
     /// A call got no answer in its time.
-    fn leave_call(&mut self, now: Time, id: CallId, listen: f64, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.left) else { return };
-        call.left = true;
-        let (gate, probe, within) = (call.gate, call.probe, call.within);
-        let listen = within.times(listen);
+    fn late(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some((gate, within)) = self.calls.get(&id).map(|c| (c.gate, c.within)) else { return };
         let fair = self.gates.get_mut(&gate).is_some_and(|g| {
             g.sums.late += 1;
             g.fair(within)
         });
         let learnt = if fair { Learnt::Overload } else { Learnt::Nothing };
-        self.learn(now, gate, probe, learnt, out);
-        out.push(Action::GiveUp { call: id, listen });
-        if listen <= Time(0) {
-            self.close(now, id);
-        }
+        self.give_up(now, id, learnt, within.times(LISTEN), out);
     }
 
     /// A call is not needed any more, which says nothing of its dependency: it is listened to for what is left of
     /// its time, since one that ends frees its place at once.
     fn drop_call(&mut self, now: Time, id: CallId, listens: bool, out: &mut Vec<Action>) {
+        let Some(left) = self.calls.get(&id).map(|c| c.since + c.within - now) else { return };
+        let listen = if listens { left.max(Time(0)) } else { Time(0) };
+        self.give_up(now, id, Learnt::Nothing, listen, out);
+    }
+
+    /// A call's part waits no longer. Where it is not listened to, its connection is closed: it may go on unseen.
+    fn give_up(&mut self, now: Time, id: CallId, learnt: Learnt, listen: Time, out: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id).filter(|c| !c.left) else { return };
         call.left = true;
         let (gate, probe) = (call.gate, call.probe);
-        let listen = if listens { (call.since + call.within - now).max(Time(0)) } else { Time(0) };
-        self.learn(now, gate, probe, Learnt::Nothing, out);
+        self.learn(now, gate, probe, learnt, out);
         out.push(Action::GiveUp { call: id, listen });
         if listen <= Time(0) {
-            self.close(now, id);
-        }
-    }
-
-    /// Its connection is closed: it may go on unseen.
-    fn close(&mut self, now: Time, id: CallId) {
-        if let Some(call) = self.calls.remove(&id) {
-            if let Some(gate) = self.gates.get_mut(&call.gate) {
-                gate.over(now, true);
-            }
-            self.frees(now, call.gate);
+            self.calls.remove(&id);
+            self.gates.entry(gate).and_modify(|g| g.over(now, true));
+            self.frees(now, gate);
         }
     }
 
@@ -719,13 +707,9 @@
         self.kept.bytes()
     }
 
-    /// Each dependency's sums since they were last taken, its limit, what is held there and its breaker.
-    pub fn sums(&mut self, now: Time) -> Vec<(Rc<str>, Sums, usize, usize, Stage)> {
-        let taken = self.gates.values_mut().map(|gate| {
-            let sums = std::mem::take(&mut gate.sums);
-            (gate.spec.name.clone(), sums, gate.limit.calls(), gate.held(now), gate.stage())
-        });
-        taken.collect()
+    /// For the log: each dependency's gate, to take its sums and what changed since they were last taken.
+    pub fn gates(&mut self) -> impl Iterator<Item = &mut Gate> {
+        self.gates.values_mut()
     }
 
     /// What must hold after every input, in words where it does not.
@@ -736,7 +720,7 @@
             if in_hand != gate.in_hand() {
                 return Err(format!("{}: {in_hand} calls, {} counted", gate.spec.name, gate.in_hand()));
             }
-            if gate.waiting.len() > gate.spec.waiting.max(1) * 2 {
+            if gate.waiting.len() > gate.most_waiting() {
                 return Err(format!("{}: {} wait", gate.spec.name, gate.waiting.len()));
             }
             for (run, place) in &gate.waiting {
--- a/crates/depend/src/plan.rs
+++ b/crates/depend/src/plan.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Kept back of the time left, for composing an answer and sending it.
+pub const RESERVE: Time = Time(100);
+
 /// A service that parts of pages are asked of.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Dependency {
@@ -68,6 +71,8 @@
     pub kept: bool,
     /// Fall-backs of any kind; without, a part that fails is missing and its page errored.
     pub fallback: bool,
+    /// Counting what a former life may have left as held: without, a started instance calls at once.
+    pub restart: bool,
 }
 
 impl Default for Defences {
@@ -80,11 +85,12 @@
             hedge: true,
             kept: true,
             fallback: true,
+            restart: true,
         }
     }
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     pub dependencies: Vec<Rc<Dependency>>,
     pub pages: Vec<Page>,
--- a/crates/depend/src/retry.rs
+++ b/crates/depend/src/retry.rs
@@ -24,13 +24,9 @@
         self.tokens = (self.tokens + self.part).min(MOST.max(self.part));
     }
 
-    pub fn can(&self) -> bool {
-        self.tokens >= 1.0
-    }
-
     /// Pays for an extra call; false where it cannot be paid for.
     pub fn take(&mut self) -> bool {
-        let can = self.can();
+        let can = self.tokens >= 1.0;
         self.tokens -= f64::from(can);
         can
     }
--- a/crates/depend/tests/random.rs
+++ b/crates/depend/tests/random.rs
@@ -53,6 +53,8 @@
     now: Time,
     pages: Pages,
     plan: Plan,
+    /// Every dependency that was ever in force.
+    all: Vec<Rc<Dependency>>,
     next_run: u32,
     /// Open runs and when they are due.
     runs: BTreeMap<ReqId, Time>,
@@ -99,7 +101,7 @@
     }
 
     fn linger(&mut self, name: Rc<str>) {
-        let spec = self.plan.dependencies.iter().find(|d| d.name == name);
+        let spec = self.all.iter().find(|d| d.name == name);
         let linger = spec.map_or(Time(0), |d| d.linger);
         self.unseen.push((name, self.now + linger));
     }
@@ -110,7 +112,7 @@
         self.unseen.retain(|(_, end)| *end > now);
         let held = self.calls.values().filter(|(of, _)| of == name).count()
             + self.unseen.iter().filter(|(of, _)| of == name).count();
-        if let Some(spec) = self.plan.dependencies.iter().find(|d| d.name == *name) {
+        if let Some(spec) = self.all.iter().find(|d| d.name == *name) {
             assert!(held <= spec.share, "{held} held at {name}, share {}", spec.share);
         }
     }
@@ -155,6 +157,7 @@
                     assert!(!self.runs.contains_key(&run), "a stopped run ends at once");
                 }
             }
+            44 if self.random.u8(0..4) == 0 => self.reload(),
             _ => {
                 if let Some(call) = self.random.choice(self.calls.keys().copied().collect::<Vec<_>>()) {
                     let outcome = match self.random.u8(0..10) {
@@ -176,6 +179,24 @@
         assert!(self.pages.kept_bytes() <= self.plan.kept_bytes);
     }
 
+    /// Another file: other pages and budgets, and sometimes a dependency less, or again one more.
+    fn reload(&mut self) {
+        let mut next = plan(&mut self.random, self.plan.defences);
+        for spec in &mut next.dependencies {
+            // A share that shrinks leaves what is held over it to end: what must hold then is not counted here.
+            if let Some(old) = self.all.iter().find(|old| old.name == spec.name) {
+                let kept =
+                    Dependency { share: old.share, floor: old.floor, linger: old.linger, ..(**spec).clone() };
+                *spec = Rc::new(kept);
+            } else {
+                self.all.push(spec.clone());
+            }
+        }
+        self.plan = next.clone();
+        let actions = self.pages.install(self.now, next);
+        self.carry(actions);
+    }
+
     fn end(&mut self, id: CallId, outcome: Outcome) {
         let (name, _) = self.calls.remove(&id).expect("it is out");
         if outcome == Outcome::Lost {
@@ -186,7 +207,8 @@
     }
 }
 
-/// Guards the whole of the package: limits, budgets and exactly one end for each run and call, after every step.
+/// Guards the whole of the package: limits, budgets and exactly one end for each run and call, after every step and
+/// across files read anew.
 #[test]
 fn random_runs_keep_every_promise() {
     let mut ends = 0;
@@ -201,7 +223,8 @@
         let pages = Pages::new(Time(0), plan.clone(), seed, seed % 2 == 0);
         let (runs, calls) = (BTreeMap::new(), BTreeMap::new());
         let (unseen, now) = (Vec::new(), Time(0));
-        let mut model = Model { random, now, pages, plan, next_run: 0, runs, calls, unseen, ends: 0 };
+        let all = plan.dependencies.clone();
+        let mut model = Model { random, now, pages, plan, all, next_run: 0, runs, calls, unseen, ends: 0 };
         (0..STEPS / SEEDS as usize).for_each(|_| model.step());
         // Everything ends by itself once nothing new comes and no call is answered.
         while let Some(at) = model.pages.next() {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -26,13 +26,29 @@
     pub bodies: u64,
 }
 
-/// What happened on one connection.
-pub struct Calls {
-    pub sent: Vec<Sent>,
+/// Callers on several connections to one node, which share the rate.
+pub struct Callers(Vec<JoinHandle<Calls>>);
+
+impl Callers {
+    pub fn start(
+        addr: SocketAddr, mix: &Mix, connections: u64, seed: u64, span: (Instant, Instant),
+        patience: Duration,
+    ) -> Self {
+        let mix = Mix { rate: mix.rate / connections as f64, ..mix.clone() };
+        let seeds = (0..connections).map(|connection| seed ^ connection << 48);
+        Callers(seeds.map(|seed| call(addr, mix.clone(), seed, span.0, span.1, patience)).collect())
+    }
+
+    /// All that was sent, once the last answers have had their time.
+    pub fn join(self) -> Vec<Sent> {
+        self.0.into_iter().filter_map(|caller| caller.join().ok()).flatten().collect()
+    }
 }
 
+type Calls = Vec<Sent>;
+
 /// Sends from `start` until `end`, and waits for answers until `patience` past that.
-pub fn call(
+fn call(
     addr: SocketAddr, mix: Mix, seed: u64, start: Instant, end: Instant, patience: Duration,
 ) -> JoinHandle<Calls> {
     std::thread::spawn(move || {
@@ -45,7 +61,7 @@
         });
         match opened {
             Ok((sidecar, writer)) => calling(sidecar, writer, mix, seed, (start, end), patience),
-            Err(_) => Calls { sent: Vec::new() },
+            Err(_) => Calls::new(),
         }
     })
 }
@@ -92,5 +108,5 @@
             sent.heard.push((at, one));
         }
     }
-    Calls { sent }
+    sent
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -17,7 +17,8 @@
   dependencies   3 nodes and 4 dependencies that hang, slow down, reset, answer late and spoil;
                  --without budget, limit, adapt, breaker, hedge, kept or fallback
   calm           one node and nothing wrong: what a page costs beside one without limits and breakers
-  restarts       nodes that are killed and started again, and the ceiling of a dependency
+  restarts       nodes that are killed and started again, and the ceiling of a dependency;
+                 --without restart
 
 options:
   --seed N           draws the schedule (default 1)
@@ -35,6 +36,20 @@
     pub verbose: bool,
 }
 
+impl Usage {
+    /// What is switched off; an error where this trial does not know it.
+    pub fn off(&self, known: &[&str]) -> std::io::Result<Vec<&str>> {
+        match self.without.as_deref() {
+            Some(without) if !known.contains(&without) => {
+                let known = if known.is_empty() { "none in this trial".into() } else { known.join(", ") };
+                let wrong = format!("--without {without}: expected {known}");
+                Err(std::io::Error::new(std::io::ErrorKind::InvalidInput, wrong))
+            }
+            without => Ok(without.into_iter().collect()),
+        }
+    }
+}
+
 fn usage() -> Result<Option<(String, Usage)>, lexopt::Error> {
     let mut usage = Usage { seed: 1, without: None, seconds: None, verbose: false };
     let (mut command, mut name) = (None, None);
--- a/crates/lab/src/trials/calm.rs
+++ b/crates/lab/src/trials/calm.rs
@@ -1,13 +1,13 @@
 //! Nothing wrong: what a page costs, beside one that calls the same three with no limits, breakers or budgets.
 use super::shop::{self, TIMEOUT};
 use crate::fleet::Node;
-use crate::load::{self, Mix};
+use crate::load::{Callers, Mix};
 use crate::outcome::Outcome;
 use crate::Usage;
 use std::io;
 use std::time::{Duration, Instant};
 
-const CONNECTIONS: usize = 4;
+const CONNECTIONS: u64 = 4;
 const RATE: f64 = 100.0;
 const ROUNDS: usize = 4;
 
@@ -15,19 +15,17 @@
 fn measured(node: &Node, seed: u64, seconds: f64) -> io::Result<(f64, usize, usize)> {
     let start = Instant::now() + Duration::from_millis(50);
     let end = start + Duration::from_secs_f64(seconds);
-    let mix = Mix { handler: "browse", rate: RATE / CONNECTIONS as f64, bodies: 200 };
+    let mix = Mix { handler: "browse", rate: RATE, bodies: 200 };
     let before = node.cpu()?;
-    let callers = (0..CONNECTIONS as u64)
-        .map(|n| load::call(node.addr, mix.clone(), seed ^ n << 32, start, end, TIMEOUT / 2));
-    let callers: Vec<_> = callers.collect();
-    let calls: Vec<_> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
+    let sent = Callers::start(node.addr, &mix, CONNECTIONS, seed, (start, end), TIMEOUT / 2).join();
     let used = node.cpu()? - before;
-    let worth: Vec<_> = calls.iter().flat_map(|c| &c.sent).map(shop::worth).collect();
+    let worth: Vec<_> = sent.iter().map(shop::worth).collect();
     let whole = worth.iter().filter(|w| w.done && !w.partial && !w.late && w.answers == 1).count();
     Ok((used * 1_000.0 / worth.len().max(1) as f64, worth.len() - whole, worth.len()))
 }
 
 pub fn play(usage: &Usage) -> io::Result<Outcome> {
+    usage.off(&[])?;
     let seconds = usage.seconds.unwrap_or(24) as f64 / (2 * ROUNDS) as f64;
     let dependencies = shop::dependencies(usage.seed)?;
     let with = Node::start(&shop::script(&dependencies, 1, &[]), usage.verbose)?;
--- a/crates/lab/src/trials/dependencies.rs
+++ b/crates/lab/src/trials/dependencies.rs
@@ -2,7 +2,7 @@
 //! two others on the same schedule: one without fall-backs, one with fixed limits and no breaker.
 use super::shop::{self, Worth, CEILING, RETRIES, TIMEOUT};
 use crate::fleet::Node;
-use crate::load::{self, Calls, Mix};
+use crate::load::{Callers, Mix, Sent};
 use crate::outcome::Outcome;
 use crate::Usage;
 use cottondyke_standin::dependency::{Dependency, Fault};
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 const NODES: usize = 3;
-const CONNECTIONS: usize = 4;
+const CONNECTIONS: u64 = 4;
 /// Reqs a second at each node: the dependencies can answer some 125 a second of each node's.
 const RATE: f64 = 90.0;
 const CALM: f64 = 2.5;
@@ -76,10 +76,11 @@
 struct Story(Vec<(f64, Worth)>);
 
 impl Story {
-    fn of(calls: Vec<Calls>, start: Instant) -> Self {
-        let sent = calls.iter().flat_map(|calls| &calls.sent);
-        let mut all: Vec<_> =
-            sent.map(|s| (s.due.saturating_duration_since(start).as_secs_f64(), shop::worth(s))).collect();
+    fn of(sent: Vec<Sent>, start: Instant) -> Self {
+        let mut all: Vec<_> = sent
+            .iter()
+            .map(|s| (s.due.saturating_duration_since(start).as_secs_f64(), shop::worth(s)))
+            .collect();
         all.sort_by(|a, b| a.0.total_cmp(&b.0));
         Story(all)
     }
@@ -96,15 +97,27 @@
         self.0.iter().filter(move |(at, _)| (from..to).contains(at)).map(|(_, w)| w)
     }
 
-    /// How long after `from` 0.95 of the reqs of a fifth of a second are answered whole, from then to `until`.
+    /// The part answered whole and in time of what was due within a stretch.
+    fn whole(&self, from: f64, to: f64) -> f64 {
+        let (mut all, mut whole) = (0.0, 0.0);
+        for worth in self.within(from, to) {
+            all += 1.0;
+            whole += f64::from(u8::from(worth.done && !worth.partial && !worth.late));
+        }
+        if all > 0.0 {
+            whole / all
+        } else {
+            0.0
+        }
+    }
+
+    /// How long after `from` 0.95 of the reqs of a quarter of a second are answered whole, from then to `until`.
     fn whole_again(&self, from: f64, until: f64) -> f64 {
         const SLOT: f64 = 0.25;
         let slots = ((until - from) / SLOT) as usize;
         let whole = |slot: usize| {
             let at = from + slot as f64 * SLOT;
-            let all: Vec<_> = self.within(at, at + SLOT).collect();
-            let good = all.iter().filter(|w| w.done && !w.partial && !w.late).count();
-            good as f64 >= 0.95 * all.len() as f64
+            self.whole(at, at + SLOT) >= 0.95
         };
         let first = (0..slots).find(|slot| whole(*slot));
         first.map_or(until - from + 10.0, |slot| slot as f64 * SLOT)
@@ -112,15 +125,7 @@
 }
 
 pub fn play(usage: &Usage) -> io::Result<Outcome> {
-    let mut off: Vec<&str> = Vec::new();
-    if let Some(without) = usage.without.as_deref() {
-        if !DEFENCES.contains(&without) {
-            let known = DEFENCES.join(", ");
-            let wrong = format!("--without {without}: expected one of {known}");
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, wrong));
-        }
-        off.push(without);
-    }
+    let off = usage.off(&DEFENCES)?;
     let seconds = usage.seconds.unwrap_or(36) as f64;
     let mut random = fastrand::Rng::with_seed(usage.seed);
     let spells = schedule(&mut random, seconds);
@@ -132,18 +137,16 @@
     // A node makes no call until what its former life may have left there is over.
     let start = Instant::now() + shop::LINGER + Duration::from_millis(500);
     let end = start + Duration::from_secs_f64(spells.last().map_or(CALM, |s| s.to) + LAST_REST);
-    let mix = Mix { handler: "browse", rate: RATE / CONNECTIONS as f64, bodies: 200 };
-    let mut callers = Vec::new();
-    for fleet in &fleets {
-        let mut of = Vec::new();
-        for (place, node) in fleet.nodes.iter().enumerate() {
-            for connection in 0..CONNECTIONS {
-                let seed = usage.seed ^ ((place * CONNECTIONS + connection) as u64) << 32;
-                of.push(load::call(node.addr, mix.clone(), seed, start, end, TIMEOUT + TIMEOUT));
-            }
-        }
-        callers.push(of);
-    }
+    let mix = Mix { handler: "browse", rate: RATE, bodies: 200 };
+    let callers = fleets.iter().map(|fleet| {
+        let nodes = fleet.nodes.iter().zip(0u64..);
+        let of = nodes.map(|(node, place)| {
+            let seed = usage.seed ^ place << 32;
+            Callers::start(node.addr, &mix, CONNECTIONS, seed, (start, end), TIMEOUT + TIMEOUT)
+        });
+        of.collect::<Vec<_>>()
+    });
+    let callers: Vec<_> = callers.collect();
     for spell in &spells {
         let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
         std::thread::sleep(at(spell.from).saturating_duration_since(Instant::now()));
@@ -157,7 +160,7 @@
     }
     let stories: Vec<Story> = callers
         .into_iter()
-        .map(|of| Story::of(of.into_iter().filter_map(|caller| caller.join().ok()).collect(), start))
+        .map(|of| Story::of(of.into_iter().flat_map(Callers::join).collect(), start))
         .collect();
     let (fleet, story) = (&fleets[0], &stories[0]);
     let all = story.0.len() as f64;
@@ -188,17 +191,12 @@
         c.extra as f64 / (first as f64).max(1.0)
     });
     outcome.at_most("extra calls as a part of first ones", extra.fold(0.0, f64::max), RETRIES);
-    let calm: Vec<_> = story.within(0.0, CALM - 0.5).collect();
-    let whole = calm.iter().filter(|w| w.done && !w.partial).count();
-    let weak = spells.iter().rev().nth(1).map_or((0.0, 0.0), |s| (s.from + 0.5, s.to));
-    let all_then: Vec<_> = story.within(weak.0, weak.1).collect();
-    let whole_then = all_then.iter().filter(|w| w.done && !w.partial && !w.late).count() as f64;
-    outcome.figure("part whole while one is weak", whole_then / all_then.len().max(1) as f64);
-    let straggling = spells.last().map_or((0.0, 0.0), |s| (s.from + 0.5, s.to));
-    let all_then: Vec<_> = story.within(straggling.0, straggling.1).collect();
-    let whole_then = all_then.iter().filter(|w| w.done && !w.partial && !w.late).count() as f64;
-    outcome.at_least("part whole while calls straggle", whole_then / all_then.len().max(1) as f64, 0.96);
-    outcome.at_most("answers not whole before anything is wrong", (calm.len() - whole) as f64, 0.0);
+    let stretch = |spell: &Spell| story.whole(spell.from + 0.5, spell.to);
+    if let [.., weak, straggling] = spells.as_slice() {
+        outcome.figure("part whole while one is weak", stretch(weak));
+        outcome.at_least("part whole while calls straggle", stretch(straggling), 0.96);
+    }
+    outcome.at_least("part whole before anything is wrong", story.whole(0.0, CALM - 0.5), 1.0);
     outcome.figure("reqs", all);
     outcome.figure("whole", story.count(|w| w.done && !w.partial) / all);
     outcome.figure("partial", story.count(|w| w.partial) / all);
--- a/crates/lab/src/trials/restarts.rs
+++ b/crates/lab/src/trials/restarts.rs
@@ -2,7 +2,7 @@
 //! its ceiling.
 use super::shop::{self, CEILING, TIMEOUT};
 use crate::fleet::Node;
-use crate::load::{self, Mix};
+use crate::load::{Callers, Mix};
 use crate::outcome::Outcome;
 use crate::Usage;
 use cottondyke_standin::dependency::Fault;
@@ -13,7 +13,7 @@
 const ROUNDS: usize = 6;
 
 pub fn play(usage: &Usage) -> io::Result<Outcome> {
-    let off: Vec<&str> = usage.without.iter().map(String::as_str).collect();
+    let off = usage.off(&["restart"])?;
     let dependencies = shop::dependencies(usage.seed)?;
     let script = shop::script(&dependencies, NODES, &off);
     let mut random = fastrand::Rng::with_seed(usage.seed);
@@ -27,20 +27,11 @@
     for round in 0..ROUNDS as u64 {
         let start = Instant::now();
         let end = start + Duration::from_secs(2);
-        let callers: Vec<_> = nodes
-            .iter()
-            .enumerate()
-            .map(|(place, node)| {
-                load::call(
-                    node.addr,
-                    mix.clone(),
-                    usage.seed ^ round << 16 ^ place as u64,
-                    start,
-                    end,
-                    TIMEOUT,
-                )
-            })
-            .collect();
+        let callers = nodes.iter().zip(0u64..).map(|(node, place)| {
+            let seed = usage.seed ^ round << 16 ^ place;
+            Callers::start(node.addr, &mix, 1, seed, (start, end), TIMEOUT)
+        });
+        let callers: Vec<_> = callers.collect();
         std::thread::sleep(Duration::from_millis(random.u64(500..1_500)));
         random.shuffle(&mut nodes);
         // An old process is gone before the new one starts; its calls may go on.
@@ -50,8 +41,8 @@
             drop(old);
             nodes.push(start_node()?);
         }
-        let calls: Vec<_> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
-        answered += calls.iter().flat_map(|c| &c.sent).filter(|s| !s.heard.is_empty()).count();
+        let sent = callers.into_iter().flat_map(Callers::join);
+        answered += sent.filter(|s| !s.heard.is_empty()).count();
     }
     let mut outcome = Outcome::default();
     let most = dependencies.iter().map(|d| d.counts().most_held).max().unwrap_or_default();
--- a/crates/operator/src/args.rs
+++ b/crates/operator/src/args.rs
@@ -94,91 +94,60 @@
         self.named.remove(name).filter(|v| !v.is_null())
     }
 
-    pub fn value(&mut self, name: &'static str, what: &str) -> Result<Json, Wrong> {
-        self.maybe(name).ok_or_else(|| self.wrong(format!("{name} is missing: expected {what}")))
-    }
-
-    pub fn text(&mut self, name: &'static str, what: &str) -> Result<String, Wrong> {
-        let value = self.value(name, what)?;
-        value.as_str().map(String::from).ok_or_else(|| self.expected(name, &value, what))
+    /// What `read` makes of a value; `default` where none is given, an error where there is no default either.
+    pub fn read<T>(
+        &mut self, name: &'static str, what: &str, default: Option<T>, read: impl Fn(&Json) -> Option<T>,
+    ) -> Result<T, Wrong> {
+        match (self.maybe(name), default) {
+            (Some(value), _) => read(&value).ok_or_else(|| self.expected(name, &value, what)),
+            (None, Some(default)) => Ok(default),
+            (None, None) => Err(self.wrong(format!("{name} is missing: expected {what}"))),
+        }
     }
 
     /// A name: letters, digits, dashes, dots and underscores.
-    pub fn name(&mut self, name: &'static str) -> Result<String, Wrong> {
-        const WHAT: &str = "a name of at most 64 letters, digits, dashes, dots and underscores";
-        let text = self.text(name, WHAT)?;
+    pub fn name(&mut self, name: &'static str, default: Option<&str>) -> Result<String, Wrong> {
+        let what = "a name of at most 64 letters, digits, dashes, dots and underscores";
         let fits = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-        if text.is_empty() || text.len() > 64 || !text.chars().all(fits) {
-            return Err(self.expected(name, &Json::String(text), WHAT));
-        }
-        Ok(text)
+        let plain = |text: &&str| !text.is_empty() && text.len() <= 64 && text.chars().all(fits);
+        let default = default.map(String::from);
+        self.read(name, what, default, |value| value.as_str().filter(plain).map(String::from))
     }
 
     pub fn flag(&mut self, name: &'static str, default: bool) -> Result<bool, Wrong> {
-        let Some(value) = self.maybe(name) else { return Ok(default) };
-        value.as_bool().ok_or_else(|| self.expected(name, &value, "True or False"))
+        self.read(name, "True or False", Some(default), Json::as_bool)
     }
 
     pub fn number(
         &mut self, name: &'static str, least: f64, most: f64, default: Option<f64>,
     ) -> Result<f64, Wrong> {
         let what = format!("a number from {least} to {most}");
-        let value = match (self.maybe(name), default) {
-            (Some(value), _) => value,
-            (None, Some(default)) => return Ok(default),
-            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
-        };
-        let number = value.as_f64().filter(|n| (least..=most).contains(n));
-        number.ok_or_else(|| self.expected(name, &value, &what))
+        self.read(name, &what, default, |value| value.as_f64().filter(|n| (least..=most).contains(n)))
     }
 
     pub fn whole(
         &mut self, name: &'static str, least: u64, most: u64, default: Option<u64>,
     ) -> Result<u64, Wrong> {
         let what = format!("a whole number from {least} to {most}");
-        let value = match (self.maybe(name), default) {
-            (Some(value), _) => value,
-            (None, Some(default)) => return Ok(default),
-            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
-        };
-        let number = value.as_u64().filter(|n| (least..=most).contains(n));
-        number.ok_or_else(|| self.expected(name, &value, &what))
+        self.read(name, &what, default, |value| value.as_u64().filter(|n| (least..=most).contains(n)))
     }
 
     pub fn duration(&mut self, name: &'static str, default: Option<Time>) -> Result<Time, Wrong> {
-        const WHAT: &str = "a time over 0 such as \"300ms\", \"1.8s\" or \"2m\"";
-        let value = match (self.maybe(name), default) {
-            (Some(value), _) => value,
-            (None, Some(default)) => return Ok(default),
-            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {WHAT}"))),
-        };
-        let time = value.as_str().and_then(duration).filter(|t| *t > Time(0));
-        time.ok_or_else(|| self.expected(name, &value, WHAT))
+        let what = "a time over 0 such as \"300ms\", \"1.8s\" or \"2m\"";
+        self.read(name, what, default, |value| value.as_str().and_then(duration).filter(|t| *t > Time(0)))
     }
 
     pub fn one_of(
         &mut self, name: &'static str, known: &[&str], default: Option<&str>,
     ) -> Result<String, Wrong> {
-        let what = format!("one of {}", known.join(", "));
-        let value = match (self.maybe(name), default) {
-            (Some(value), _) => value,
-            (None, Some(default)) => return Ok(default.to_string()),
-            (None, None) => return Err(self.wrong(format!("{name} is missing: expected {what}"))),
-        };
-        let text = value.as_str().unwrap_or_default();
-        if known.contains(&text) {
-            return Ok(text.to_string());
-        }
-        let near = nearest(text, known.iter().copied());
-        Err(self.expected(name, &value, &(what + &near)))
+        let given = self.named.get(name).and_then(Json::as_str).unwrap_or_default();
+        let what = format!("one of {}{}", known.join(", "), nearest(given, known.iter().copied()));
+        let is = |text: &&str| known.contains(text);
+        self.read(name, &what, default.map(String::from), |value| value.as_str().filter(is).map(String::from))
     }
 
     pub fn list(&mut self, name: &'static str, what: &str) -> Result<Vec<Json>, Wrong> {
-        match self.maybe(name) {
-            None => Ok(Vec::new()),
-            Some(Json::Array(list)) => Ok(list),
-            Some(value) => Err(self.expected(name, &value, what)),
-        }
+        self.read(name, what, Some(Vec::new()), |value| value.as_array().cloned())
     }
 
     /// Nothing is left that was not asked for.
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -3,12 +3,9 @@
 use crate::typed::*;
 use crate::{Place, Wrong};
 use cottondyke_decide::types::Time;
-use cottondyke_depend as depend;
+use cottondyke_depend::{self as depend, RESERVE};
 use std::rc::Rc;
 
-/// Kept back of the response target for composing the answer and sending it.
-pub const RESERVE: Time = Time(100);
-
 /// A handler as the check needs it, from the configuration or from the script itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Known {
@@ -49,6 +46,7 @@
             hedge: on("hedge"),
             kept: on("kept"),
             fallback: on("fallback"),
+            restart: on("restart"),
         }
     }
 
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -123,6 +123,8 @@
     pub instances: Option<u64>,
     /// Megabytes for kept answers.
     pub kept_mb: f64,
+    /// Where `fleet` stands.
+    pub fleet: Place,
     pub handlers: Vec<Handler>,
     pub customers: Vec<Customer>,
     pub dependencies: Vec<Dependency>,
@@ -131,23 +133,17 @@
     pub off: Vec<String>,
 }
 
-pub const DEFENCES: [&str; 7] = ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback"];
+pub const DEFENCES: [&str; 8] =
+    ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback", "restart"];
 
 fn address(args: &mut Args, name: &'static str) -> Result<SocketAddr, Wrong> {
     const WHAT: &str = "an IP address with a port such as \"127.0.0.1:8080\"";
-    let text = args.text(name, WHAT)?;
-    text.parse().map_err(|_| args.expected(name, &Json::String(text), WHAT))
+    args.read(name, WHAT, None, |value| value.as_str()?.parse().ok())
 }
 
 fn serve(mut args: Args) -> Result<Serve, Wrong> {
     let serve = Serve {
-        name: args.maybe("name").map_or(Ok("cottondyke".to_string()), |value| {
-            let text = value.as_str().filter(|t| !t.is_empty() && t.len() <= 64);
-            let plain = text.filter(|t| t.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)));
-            plain
-                .map(String::from)
-                .ok_or_else(|| args.expected("name", &value, "letters, digits, dots and dashes"))
-        })?,
+        name: args.name("name", Some("cottondyke"))?,
         listen: address(&mut args, "listen")?,
         at_once: args.whole("at_once", 1, 65_536, Some(64))?,
         memory_mb: args.whole("memory_mb", 16, 1 << 20, Some(64))?,
@@ -161,7 +157,7 @@
 }
 
 fn handler(mut args: Args) -> Result<Handler, Wrong> {
-    let name = args.name("name")?;
+    let name = args.name("name", None)?;
     let kinds = ["replayable", "uniqued", "non-replayable"];
     let effect = match args.one_of("effect", &kinds, None)?.as_str() {
         "replayable" => Effect::Replayable,
@@ -191,36 +187,28 @@
 }
 
 fn customer(mut args: Args) -> Result<Customer, Wrong> {
-    let name = args.name("name")?;
+    let name = args.name("name", None)?;
     let per_second = args.number("per_second", 0.0, 1e9, None)?;
     let at = args.at.clone();
     args.finish().map(|()| Customer { at, name, per_second })
 }
 
 fn dependency(mut args: Args) -> Result<Dependency, Wrong> {
-    let name = args.name("name")?;
+    let name = args.name("name", None)?;
     let addr = address(&mut args, "addr")?;
-    let path = args.maybe("path").unwrap_or(Json::String("/".into()));
     const PATH: &str = "a path that starts with a slash, of printable ASCII without spaces";
     let plain = |t: &&str| t.starts_with('/') && t.len() <= 512 && t.bytes().all(|b| b.is_ascii_graphic());
-    let path = path.as_str().filter(plain).ok_or_else(|| args.expected("path", &path, PATH))?.to_string();
+    let path = args
+        .read("path", PATH, Some("/".to_string()), |value| value.as_str().filter(plain).map(String::from))?;
     let ceiling = args.whole("ceiling", 1, 1 << 20, None)?;
     let linger = args.duration("linger", Some(Time(1_000 * MS)))?;
-    let waiting = match args.maybe("waiting") {
-        None => None,
-        Some(value) => {
-            let whole = value.as_u64().filter(|n| *n <= 4_096);
-            Some(whole.ok_or_else(|| args.expected("waiting", &value, "a whole number from 0 to 4096"))?)
-        }
-    };
-    let hedge = match args.maybe("hedge") {
-        None => None,
-        Some(value) => {
-            let quantile = value.as_f64().filter(|q| (0.5..=0.999).contains(q));
-            const WHAT: &str = "None or a quantile of its latency from 0.5 to 0.999";
-            Some(quantile.ok_or_else(|| args.expected("hedge", &value, WHAT))?)
-        }
-    };
+    let waiting = args.read("waiting", "None or a whole number from 0 to 4096", Some(None), |value| {
+        value.as_u64().filter(|n| *n <= 4_096).map(Some)
+    })?;
+    let hedge =
+        args.read("hedge", "None or a quantile of its latency from 0.5 to 0.999", Some(None), |value| {
+            value.as_f64().filter(|q| (0.5..=0.999).contains(q)).map(Some)
+        })?;
     let dependency = Dependency {
         name,
         addr,
@@ -251,9 +239,9 @@
     let mut args = made?;
     let fallback = match args.function.as_str() {
         "kept" => Fallback::Kept(args.duration("most", None)?.0),
-        "other" => Fallback::Other(args.name("dependency")?),
+        "other" => Fallback::Other(args.name("dependency", None)?),
         "fixed" => {
-            let value = args.value("value", "any value")?;
+            let value = args.read("value", "any value", None, |value| Some(value.clone()))?;
             let size = value.to_string().len();
             if size > MOST_FIXED {
                 return Err(args.expected(
@@ -275,12 +263,8 @@
     let made = value.get(MADE).and_then(Json::as_str);
     let made = made.filter(|function| *function == "part").and_then(|_| Args::made(value, &["name"]));
     let mut args = made.ok_or_else(|| page.expected("parts", value, "part(name, ...)"))??;
-    let name = args.name("name")?;
-    let dependency = match args.maybe("dependency") {
-        None => name.clone(),
-        Some(Json::String(text)) => text,
-        Some(value) => return Err(args.expected("dependency", &value, "the name of a dependency")),
-    };
+    let name = args.name("name", None)?;
+    let dependency = args.name("dependency", Some(&name))?;
     let required = args.flag("required", false)?;
     let list = args.list("fallbacks", "a list")?;
     if list.len() > MOST_FALLBACKS {
@@ -292,7 +276,7 @@
 }
 
 fn page(mut args: Args) -> Result<Page, Wrong> {
-    let handler = args.name("handler")?;
+    let handler = args.name("handler", None)?;
     let list = args.list("parts", "a list of part(name, ...)")?;
     if list.is_empty() || list.len() > MOST_PARTS {
         return Err(args.wrong(format!("parts holds {}: expected 1 to {MOST_PARTS}", list.len())));
@@ -328,7 +312,7 @@
             "serve" => all.serve = Some(serve(args)?),
             "fleet" if fleet => return Err(args.wrong("declared twice: expected once")),
             "fleet" => {
-                fleet = true;
+                (fleet, all.fleet) = (true, args.at.clone());
                 all.instances = Some(args.whole("instances", 1, 100_000, None)?);
                 all.kept_mb = args.number("kept_mb", 0.0, 65_536.0, Some(4.0))?;
                 args.finish()?;
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -2,7 +2,7 @@
 use crate::time::span_of_ms;
 use cottondyke_decide::decide::Decider;
 use cottondyke_decide::types::{Kind, Time};
-use cottondyke_operator::{Effect, Known, Operator};
+use cottondyke_operator::{Effect, Known, Operator, Place};
 use cottondyke_settings::{self as settings, Places, Wrong};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -14,15 +14,38 @@
 /// The decider uses 0.85 of the crowd that it is told is survived: so `at_once` itself is the most that run.
 const OVERLOAD: f64 = 1.0 / 0.85 + 1e-6;
 
-/// What of the connections is left to callers beside those to dependencies.
-fn room(connections: usize, operator: &Operator) -> Result<usize, Wrong> {
-    let shares: u64 = operator.dependencies.iter().map(|d| operator.share(d)).sum();
-    let left = (connections as u64).checked_sub(shares).filter(|n| *n > 0);
-    left.map(|n| n as usize).ok_or(format!(
-        "{}: the dependencies may take {shares} connections, which leaves none of {connections} for callers: \
-         expected more sockets or lower ceilings",
-        operator.file
-    ))
+/// Connections to a dependency beside each call that may be held there: as many may lie idle.
+const IDLE: u64 = 1;
+/// Part of the memory that kept answers may take.
+const KEPT: f64 = 0.25;
+
+/// What of the connections is left to callers beside those to dependencies, where kept answers fit the memory.
+fn room(connections: usize, memory: usize, operator: &Operator) -> Result<usize, Wrong> {
+    let wrong = |at: &Place, what: String| Err(Wrong::from(format!("{}:{}: {what}", at.file, at.line)));
+    let most = memory as f64 / (1 << 20) as f64 * KEPT;
+    if operator.instances.is_some() && operator.kept_mb > most {
+        let what = format!(
+            "fleet: kept_mb = {}: expected at most a quarter of the memory, {most}",
+            operator.kept_mb
+        );
+        return wrong(&operator.fleet, what);
+    }
+    let mut left = connections as u64;
+    for dependency in &operator.dependencies {
+        let share = operator.share(dependency);
+        left = match left.checked_sub(share * (1 + IDLE)).filter(|left| *left > 0) {
+            Some(left) => left,
+            None => {
+                let what = format!(
+                    "dependency {:?}: ceiling = {} is {share} calls here, whose connections leave none of {connections} \
+                     for callers: expected more sockets or lower ceilings",
+                    dependency.name, dependency.ceiling
+                );
+                return wrong(&dependency.at, what);
+            }
+        };
+    }
+    Ok(left as usize)
 }
 
 #[derive(Clone, Debug)]
@@ -118,7 +141,7 @@
 
     /// The platform's configuration with the operator's file beside it.
     pub fn with(mut self, operator: Operator) -> Result<Self, Wrong> {
-        let both = |at: &cottondyke_operator::Place, what: &str| {
+        let both = |at: &Place, what: &str| {
             Err(format!(
                 "{}:{}: {what}: the configuration tells that already; expected it in one of the two",
                 at.file, at.line
@@ -134,7 +157,7 @@
             return both(&customer.at, "customer(...)");
         }
         operator.check(&self.known()).map_err(|wrong| wrong.to_string())?;
-        self.connections = room(self.connections, &operator)?;
+        self.connections = room(self.connections, self.memory, &operator)?;
         self.operator = Some(operator);
         Ok(self)
     }
@@ -186,7 +209,7 @@
         });
         let mut config =
             Self::parse(&conf.to_string()).map_err(|wrong| format!("{}: {wrong}", operator.file))?;
-        config.connections = room(config.connections, &operator)?;
+        config.connections = room(config.connections, config.memory, &operator)?;
         (config.engine, config.control, config.records) = (None, None, None);
         config.operator = Some(operator);
         Ok(config)
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -82,7 +82,8 @@
     started: Time,
     decider: Decider,
     reqs: BTreeMap<ReqId, Entry>,
-    by_wire: BTreeMap<WireId, ReqId>,
+    /// The ids of all in `reqs`, as they stand on the wire.
+    wires: BTreeSet<WireId>,
     next_id: u32,
     outlets: Outlets,
     works: Works,
@@ -131,7 +132,7 @@
             started: now,
             decider,
             reqs: BTreeMap::new(),
-            by_wire: BTreeMap::new(),
+            wires: BTreeSet::new(),
             next_id: 0,
             outlets: Outlets::default(),
             works,
@@ -380,7 +381,7 @@
         }
         self.works.forget_all(now);
         self.reqs.retain(|_, r| !r.answered);
-        self.by_wire.retain(|_, id| self.reqs.contains_key(id));
+        self.wires = self.reqs.values().map(|r| r.wire).collect();
         self.wakes.clear();
         self.wake(now, Gauges::default());
         if let Some(notice) = self.notice {
@@ -420,7 +421,7 @@
 
     fn arrived(&mut self, now: Time, conn: ConnId, req: Req) {
         self.outlets.took(now, conn);
-        if self.by_wire.contains_key(&req.id) {
+        if self.wires.contains(&req.id) {
             tracing::debug!(conn = conn.0, id = ?req.id, "an id that is open already");
             self.tally.unfit += 1;
             self.outlets.send(now, conn, &Reply::Errored(req.stream));
@@ -453,7 +454,7 @@
             unread,
             wait: None,
         };
-        self.by_wire.insert(req.id, id);
+        self.wires.insert(req.id);
         let entry = Entry {
             conn,
             stream: req.stream,
@@ -471,37 +472,34 @@
         self.carry_all(now, results);
     }
 
-    /// What a kind of work tells.
     fn worked(&mut self, now: Time, event: Event) {
+        if let Some(results) = self.told(now, event) {
+            self.carry_all(now, results);
+        }
+    }
+
+    /// What a kind of work tells, and what the decider makes of it.
+    fn told(&mut self, now: Time, event: Event) -> Option<Results> {
         match event {
+            Event::Ended(id, end, output) => return self.run_over(now, id, end, output),
+            Event::CallWanted(id) => return Some(self.decider.call_wanted(now, id)),
+            Event::CallEnded(id, end) => return Some(self.decider.call_ended(now, id, end)),
+            Event::Gauges(busy) => {
+                self.asked = None;
+                return Some(self.decider.wake(now, Gauges { busy }));
+            }
             Event::Lives(id) => {
                 if let Some(entry) = self.reqs.get(&id) {
                     self.outlets.prove(entry.conn);
                 }
             }
-            Event::Ended(id, end, output) => {
-                if let Some(results) = self.run_over(now, id, end, output) {
-                    self.carry_all(now, results);
-                }
-            }
-            Event::CallWanted(id) => {
-                let results = self.decider.call_wanted(now, id);
-                self.carry_all(now, results);
-            }
-            Event::CallEnded(id, end) => {
-                let results = self.decider.call_ended(now, id, end);
-                self.carry_all(now, results);
-            }
-            Event::Gauges(busy) => {
-                self.asked = None;
-                self.wake(now, Gauges { busy });
-            }
             Event::Tested(tag, good) => {
                 if let Some((conn, stream)) = self.health.tested(tag) {
                     self.outlets.send(now, conn, &Reply::Checked { stream, good });
                 }
             }
         }
+        None
     }
 
     /// Runs of which nothing was heard since long after their clients gave up.
@@ -510,9 +508,7 @@
         let lost = self.reqs.iter().filter(|(_, e)| e.running && e.answered && now - e.arrived > long);
         for id in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
             tracing::warn!("a run that never ended is given up");
-            if let Some(results) = self.run_over(now, id, RunEnd::Void, Output::default()) {
-                self.carry_all(now, results);
-            }
+            self.worked(now, Event::Ended(id, RunEnd::Void, Output::default()));
         }
     }
 
@@ -559,7 +555,7 @@
         if entry.running {
             self.works.unwanted(id);
         } else {
-            self.by_wire.remove(&entry.wire);
+            self.wires.remove(&entry.wire);
             self.reqs.remove(&id);
         }
     }
@@ -582,10 +578,8 @@
                 let results = self.decider.run_ended(now, id, end);
                 self.carry(now, results);
             } else if let Some(event) = self.events.pop_front() {
-                if let Event::Ended(id, end, output) = event {
-                    if let Some(results) = self.run_over(now, id, end, output) {
-                        self.carry(now, results);
-                    }
+                if let Some(results) = self.told(now, event) {
+                    self.carry(now, results);
                 }
             } else {
                 return;
--- a/crates/server/src/work/pages.rs
+++ b/crates/server/src/work/pages.rs
@@ -9,6 +9,7 @@
 use async_executor::{LocalExecutor, Task};
 use cottondyke_decide::types::{ReqId, RunEnd, Time};
 use cottondyke_depend::breaker::Stage;
+use cottondyke_depend::gate::Sums;
 use cottondyke_depend::{Action, Answer, CallId, Outcome, Pages, PartEnd, Plan, Start, State};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -120,11 +121,16 @@
     /// One line a second for each dependency that was asked; idle connections that are too old go.
     pub fn chores(&mut self, now: Time) {
         self.pool.trim();
-        for (dependency, sums, limit, held, stage) in self.pages.sums(now) {
-            if sums != Default::default() {
-                let (first, hedges, repeats) = (sums.first, sums.hedges, sums.repeats);
-                let (well, ill, late, full, shut) = (sums.well, sums.ill, sums.late, sums.full, sums.shut);
-                let open = stage != Stage::Closed;
+        for gate in self.pages.gates() {
+            let (dependency, held, open) =
+                (gate.spec.name.clone(), gate.held(now), gate.stage() != Stage::Closed);
+            if let Some((before, limit)) = gate.changed() {
+                tracing::info!(%dependency, before, limit, share = gate.spec.share, "its limit changed");
+            }
+            let sums = std::mem::take(&mut gate.sums);
+            if sums != Sums::default() {
+                let Sums { first, hedges, repeats, well, ill, late, full, shut } = sums;
+                let limit = gate.limit.calls();
                 tracing::info!(
                     %dependency, first, hedges, repeats, well, ill, late, full, shut, limit, held, open,
                     "calls in the last second"
--- a/crates/server/tests/serve/pages.rs
+++ b/crates/server/tests/serve/pages.rs
@@ -239,13 +239,39 @@
     assert_eq!(parts(&sidecar.hear().unwrap()), json!({ "catalogue": { "state": "whole", "body": "new" } }));
 }
 
+/// Guards leaving: a script that takes seconds to read anew holds no notice to leave up.
+#[test]
+fn the_notice_to_leave_is_heard_while_a_script_is_read() {
+    let mut shop = Shop::start("replayable", PARTS);
+    let slow = "def busy():\n    for i in range(50000):\n        sorted(range(2000))\nbusy()\n";
+    std::fs::write(shop.rig.path(), slow).unwrap();
+    shop.rig.signal("-HUP");
+    // The evaluation ends at its limit of 5 s; leaving takes 1 s.
+    shop.rig.signal("-TERM");
+    let (status, took) = shop.rig.ended();
+    assert!(status.success() && took.as_millis() < 3_000, "{status} {took:?}");
+}
+
 /// Guards start-up: a bad script is one line on standard error, and an exit code that says so.
 #[test]
 fn a_bad_script_is_told_in_one_line() {
     let eats = "x = [\"a\" * 100000000 for i in range(1000)]\n";
-    for (text, told) in
-        [("page(\"x\")", "shop.star:1:"), (eats, "cannot be evaluated"), ("serve(", "Parse error")]
-    {
+    let page = "page(\"browse\", parts = [part(\"stock\")])\n";
+    let handler =
+        "handler(\"browse\", effect = \"replayable\", response_target = \"1s\", client_timeout = \"1s\")\n";
+    let serve = "serve(listen = \"127.0.0.1:0\", memory_mb = 16, sockets = 128)\n";
+    let stock = |ceiling: u32| {
+        format!("dependency(\"stock\", addr = \"127.0.0.1:1\", budget = \"9ms\", ceiling = {ceiling})\n")
+    };
+    let greedy = format!("{serve}fleet(instances = 1, kept_mb = 5)\n{}{handler}{page}", stock(1));
+    let crowded = format!("{serve}fleet(instances = 1)\n{}{handler}{page}", stock(20));
+    for (text, told) in [
+        (greedy.as_str(), "shop.star:2: fleet: kept_mb = 5: expected at most a quarter of the memory, 4"),
+        (crowded.as_str(), "shop.star:3: dependency \"stock\": ceiling = 20"),
+        ("page(\"x\")", "shop.star:1:"),
+        (eats, "cannot be evaluated"),
+        ("serve(", "Parse error"),
+    ] {
         let folder = std::env::temp_dir().join(format!("cottondyke-bad-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let path: PathBuf = folder.join("shop.star");
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -155,6 +155,10 @@
         logs(&self.log, logged);
     }
 
+    pub fn path(&self) -> &std::path::Path {
+        &self.path
+    }
+
     pub fn ended(&mut self) -> (ExitStatus, Duration) {
         ends(&mut self.child)
     }
