--- a/crates/lab/src/trials/restarts.rs
+++ b/crates/lab/src/trials/restarts.rs
@@ -11,6 +11,7 @@
 
 const NODES: usize = 4;
 const ROUNDS: usize = 6;
+const CONNECTIONS: u64 = 2;
 
 pub fn play(usage: &Usage) -> io::Result<Outcome> {
     let off = usage.off(&["restart"])?;
@@ -27,11 +28,12 @@
     for round in 0..ROUNDS as u64 {
         let start = Instant::now();
         let end = start + Duration::from_secs(2);
-        let callers = nodes.iter().zip(0u64..).map(|(node, place)| {
+        let call = |node: &Node, place: u64, from: Instant| {
             let seed = usage.seed ^ round << 16 ^ place;
-            Callers::start(node.addr, &mix, 1, seed, (start, end), TIMEOUT)
-        });
-        let callers: Vec<_> = callers.collect();
+            Callers::start(node.addr, &mix, CONNECTIONS, seed, (from, end), TIMEOUT)
+        };
+        let mut callers: Vec<_> =
+            nodes.iter().zip(0..).map(|(node, place)| call(node, place, start)).collect();
         std::thread::sleep(Duration::from_millis(random.u64(500..1_500)));
         random.shuffle(&mut nodes);
         // An old process is gone before the new one starts; its calls may go on.
@@ -39,7 +41,10 @@
             let mut old = nodes.remove(0);
             restarted += usize::from(old.alive());
             drop(old);
-            nodes.push(start_node()?);
+            let new = start_node()?;
+            // Its callers come at once, while calls of its former life may still be held.
+            callers.push(call(&new, (NODES + callers.len()) as u64, Instant::now()));
+            nodes.push(new);
         }
         let sent = callers.into_iter().flat_map(Callers::join);
         answered += sent.filter(|s| !s.heard.is_empty()).count();
--- a/crates/server/tests/serve/pages.rs
+++ b/crates/server/tests/serve/pages.rs
@@ -243,7 +243,7 @@
 #[test]
 fn the_notice_to_leave_is_heard_while_a_script_is_read() {
     let mut shop = Shop::start("replayable", PARTS);
-    let slow = "def busy():\n    for i in range(50000):\n        sorted(range(2000))\nbusy()\n";
+    let slow = "def busy():\n    for i in range(50000):\n        sorted(range(20000))\nbusy()\n";
     std::fs::write(shop.rig.path(), slow).unwrap();
     shop.rig.signal("-HUP");
     // The evaluation ends at its limit of 5 s; leaving takes 1 s.
