Disk waits are no longer taken for work: runs get the share of the cores the gauge shows

The cost clock in `pass` (decide.rs) gave every run a whole core while no more ran than cores, so a learned cost was 1.3 s; `unwinnable` then predicted 2.5 s for a newcomer behind two runs against 0.8 of the 3 s target and turned it away.

Test runs_that_wait_on_the_disk_leave_room_for_newcomers fails without it.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -225,12 +225,14 @@
         (whole - self.spent(req)).max(whole * LEAST_LEFT)
     }
 
-    fn learn(&mut self, req: &Req, ended: bool) {
+    /// What a run spent off the cores is learned as time away: calls, and disk waits that no event tells.
+    fn learn(&mut self, now: Time, req: &Req, ended: bool) {
         let spent = self.spent(req);
         if ended || spent > self.usual(req) {
             let sums = &mut self.work[req.handler()];
             *sums = [sums[0] * (1.0 - WEIGHT) + spent, sums[1] * (1.0 - WEIGHT) + req.base];
-            self.away[req.handler()] += (req.away - self.away[req.handler()]) * WEIGHT;
+            let away = if ended { req.away.max((now - req.started).num() - spent) } else { req.away };
+            self.away[req.handler()] += (away - self.away[req.handler()]) * WEIGHT;
         }
     }
 }
@@ -379,7 +381,7 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             if req.live(Phase::OnCore) && matches!(end, RunEnd::Done | RunEnd::Errored) {
-                self.costs.learn(&req, true);
+                self.costs.learn(now, &req, true);
                 self.limits.count_run(now, req.handler(), now - req.started);
             }
             if end == RunEnd::Done && !req.answered {
@@ -544,7 +546,10 @@
         let calls = self.reqs.values().filter(|r| r.phase == Phase::Calling).count();
         self.calls.lingering.retain(|end| *end > now);
         self.calls.held.add(now, 0, (calls + self.calls.lingering.len()) as f64 * span);
-        self.costs.clock += span * (self.pool.cores / (on_core as f64).max(1.0)).min(1.0);
+        // Departure: the cores' gauge, where there is one, tells how much of them the runs had; runs that wait
+        // on the disk have the rest, so that a disk wait is not taken for work (manila-main's reads and writes).
+        let busy = self.pool.busy.max(FLOOR_PART) * self.pool.cores;
+        self.costs.clock += span * (busy.min(self.pool.cores) / (on_core as f64).max(1.0)).min(1.0);
         self.costs.last = now;
         self.keys.retain(|_, end| *end > now);
         let over = |r: &Req| self.costs.spent(r) / self.costs.usual(r).max(1.0);
@@ -592,7 +597,7 @@
         let req = req.clone();
         if req.phase == Phase::OnCore && self.stoppable(id) {
             out.stop.push(id);
-            self.costs.learn(&req, false);
+            self.costs.learn(now, &req, false);
             self.limits.count_run(now, req.handler(), now - req.started);
         }
         if self.costs.strain < STRAINED && self.pool.warmth(now) >= 1.0 {
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -322,3 +322,25 @@
         assert_eq!(world.count(State::OnCore) > CORES, more, "after {looks} looks");
     }
 }
+
+#[test]
+fn runs_that_wait_on_the_disk_leave_room_for_newcomers() {
+    // A run whose cores stood idle was taken for work: two waits on the disk turned all newcomers away.
+    let mut world = World::new(PLAIN);
+    let mut run = |world: &mut World, steps: usize| {
+        for _ in 0..steps {
+            world.now = world.now + Time(500);
+            world.wake(0.1);
+        }
+    };
+    for _ in 0..8 {
+        let ids = [0, 1].map(|_| world.arrive(0, Time(0), TIMEOUT, None));
+        run(&mut world, 12);
+        ids.into_iter().for_each(|id| world.end(id, RunEnd::Done));
+    }
+    assert!(world.shed.is_empty(), "{:?}", world.shed);
+    let _ = [0, 1].map(|_| world.arrive(0, Time(0), TIMEOUT, None));
+    run(&mut world, 4);
+    world.arrive(0, Time(0), TIMEOUT, None);
+    assert!(world.shed.is_empty(), "a newcomer beside two runs at the disk was shed: {:?}", world.shed);
+}
