--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -43,8 +43,6 @@
 const UNREAD: f64 = 2.0; // weight of what lies unread over what is in hand, for callers
 const LAST_SHARE: f64 = 0.2; // share of retries among arrivals from which a shed asks for no further try
 
-const RETURN_PART: f64 = 0.25; // of the time callers leave connections idle, by which one kept must be used
-const LEAST_IDLE: f64 = 0.005; // of that time, for which connections not worth keeping stay
 type Sums<const K: usize> = Ring<K, SLOTS>;
 
 /// What reqs are worth, from the goal's weights and what was won lately.
@@ -289,25 +287,12 @@
     said: Option<f64>,
     load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
     least: f64,    // time that reading takes by itself
-    keep: f64,     // time for which idle connections stay open
-    seen: Sums<1>, // arrivals, over the time that callers leave them open
 }
 
 impl Advice {
-    pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, idle: Time, seed: u64) -> Self {
-        let (load, chance, seen) = (Ring::new(heeded), Chance::new(seed), Ring::new(idle));
-        let (said, least, keep) = (None, f64::MAX, seen.span());
-        Advice { reading, callers, longest_pause: pauses, chance, said, load, least, keep, seen }
-    }
-
-    /// Departure: where the mean caller comes back only after long, connections left open fill the table and
-    /// are closed at once. Holds for any front of many small callers; may hurt where opening one is dear.
-    fn trim(&mut self, now: Time, age: Time) -> Option<Time> {
-        let idle = self.seen.span();
-        let back = self.seen.sums(now)[0] * RETURN_PART * idle / age.num().clamp(1.0, idle.max(1.0));
-        let seldom = back < self.callers && idle * LEAST_IDLE >= 1.0;
-        let keep = idle * if seldom { LEAST_IDLE } else { 1.0 };
-        (keep != std::mem::replace(&mut self.keep, keep)).then_some(Time(keep as i64))
+    pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, seed: u64) -> Self {
+        let (load, chance, said, least) = (Ring::new(heeded), Chance::new(seed), None, f64::MAX);
+        Advice { reading, callers, longest_pause: pauses, chance, said, load, least }
     }
 }
 
@@ -362,7 +347,6 @@
         let req = Req::new(new, now, base, &handler);
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
-        self.advice.seen.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num());
         let end = req.arrived + handler.window;
@@ -447,7 +431,6 @@
         let mut out = self.pass(now);
         self.beat.woken = self.beat.woken.filter(|at| *at > now);
         out.health = (self.beat.next_look == Time(i64::MIN)).then_some(true);
-        out.trim = self.advice.trim(now, now - self.pool.born);
         if now >= self.beat.next_look {
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -180,8 +180,6 @@
     pub skip: Vec<ReqId>,
     pub health: Option<bool>,
     pub advice: Option<f64>,
-    /// Connections that carried nothing for this long are closed.
-    pub trim: Option<Time>,
     pub wake: Option<Time>,
     /// Rules fired.
     pub passes: usize,
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -68,8 +68,6 @@
     conns: BTreeMap<ConnId, Outlet>,
     /// The free value that goes out with every answer and check.
     pub say: Option<f64>,
-    /// Connections that carried nothing for this long are closed.
-    pub idle: Option<Time>,
 }
 
 impl Outlets {
@@ -169,12 +167,8 @@
         }
     }
 
-    /// Idle connections are told first and closed after what may cross.
+    /// Connections told to close are closed after what may cross.
     pub fn chores(&mut self, now: Time) {
-        let idle = self.idle.unwrap_or(Time::MAX);
-        let due = |o: &Outlet| o.open == 0 && o.told.is_none() && now - o.used >= idle;
-        let idle: Vec<_> = self.conns.iter().filter(|(_, o)| due(o)).map(|(c, _)| *c).collect();
-        idle.into_iter().for_each(|conn| self.tell(now, conn));
         self.conns.retain(|_, o| o.open > 0 || o.told.is_none_or(|at| now - o.used.max(at) < CROSSING));
     }
 
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -651,9 +651,6 @@
             }
         }
         self.outlets.say = results.advice.or(self.outlets.say);
-        if let Some(idle) = results.trim {
-            self.outlets.idle = Some(idle);
-        }
         if let Some(span) = results.wake {
             self.wakes.insert(now + span);
         }
