--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -39,6 +39,7 @@
         id: req(event)?,
         handler: HandlerId(handler),
         customer: present(event, "client_group").and_then(Value::as_u64).map(|n| CustomerId(n as usize)),
+        caller: present(event, "by").and_then(Value::as_u64).map(CallerId),
         hint: hint.map(tenths),
         retry: flags & 2 != 0,
         repeats: repeats.map(|n| id(n, "same_as")).transpose()?.map(ReqId),
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -42,6 +42,7 @@
 const DEAR: f64 = 0.25; // part of the cores from which reading counts as dear
 const UNREAD: f64 = 2.0; // weight of what lies unread over what is in hand, for callers
 const LAST_SHARE: f64 = 0.2; // share of retries among arrivals from which a shed asks for no further try
+const HEARD_PART: f64 = 4.0; // callers remembered, times those told at start: the table's bound
 
 type Sums<const K: usize> = Ring<K, SLOTS>;
 
@@ -287,12 +288,33 @@
     said: Option<f64>,
     load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
     least: f64,    // time that reading takes by itself
+    heard: BTreeMap<CallerId, Time>, // callers heard within the time that advice is heeded, and when
 }
 
 impl Advice {
     pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, seed: u64) -> Self {
         let (load, chance, said, least) = (Ring::new(heeded), Chance::new(seed), None, f64::MAX);
-        Advice { reading, callers, longest_pause: pauses, chance, said, load, least }
+        Advice { reading, callers, longest_pause: pauses, chance, said, load, least, heard: BTreeMap::new() }
+    }
+
+    /// Bounded: past its bound a new caller is not remembered, and the count stays at the bound.
+    fn hear(&mut self, now: Time, caller: Option<CallerId>) {
+        let room = self.heard.len() as f64 + 1.0 <= self.callers.max(1.0) * HEARD_PART;
+        if let Some(caller) = caller.filter(|c| room || self.heard.contains_key(c)) {
+            self.heard.insert(caller, now);
+        }
+    }
+
+    /// Departure: credit is for the callers that send here, where they say who they are. A front of many
+    /// callers that each come seldom (manila-main) was told a thousandth of a req each: stay away.
+    fn senders(&mut self, now: Time) -> f64 {
+        let since = now - Time(self.load.span() as i64);
+        self.heard.retain(|_, at| *at > since);
+        if self.heard.is_empty() {
+            self.callers
+        } else {
+            self.heard.len() as f64
+        }
     }
 }
 
@@ -348,6 +370,7 @@
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
+        self.advice.hear(now, new.caller);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num());
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
@@ -564,7 +587,7 @@
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
-            Reading::Credit => wanted * self.pool.cores / self.advice.callers.max(1.0),
+            Reading::Credit => wanted * self.pool.size / self.advice.senders(now).max(1.0),
             Reading::Rank => 1.0 - wanted,
         };
         if self.advice.said.is_none_or(|said| (said - level).abs() > ADVICE_STEP * level.max(said)) {
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -51,6 +51,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CustomerId(pub usize);
 
+/// The number of the caller that sent a req: a sidecar, or a connection where no number is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallerId(pub u64);
+
 /// Whether a handler may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -103,6 +107,7 @@
     pub id: ReqId,
     pub handler: HandlerId,
     pub customer: Option<CustomerId>,
+    pub caller: Option<CallerId>,
     /// Expected work, as time of a standard core.
     pub hint: Option<Time>,
     pub retry: bool,
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -278,7 +278,19 @@
                 let (id, customer) = (ReqId(id), Some(CustomerId(id as usize % 3)));
                 let (hint, retry, repeats) = (Some(span), id.0 % 2 == 0, None);
                 let (handler, kb, lay, wait) = (HandlerId(0), scale, span, Some(span));
-                let new = Arrival { id, handler, customer, hint, retry, repeats, kb, lay, unread: lay, wait };
+                let new = Arrival {
+                    id,
+                    handler,
+                    customer,
+                    caller: None,
+                    hint,
+                    retry,
+                    repeats,
+                    kb,
+                    lay,
+                    unread: lay,
+                    wait,
+                };
                 all.push(decider.arrival(Time(id.0 as i64 * 5), new));
                 all.push(decider.call_wanted(Time(id.0 as i64 * 5), id));
             }
@@ -328,3 +340,22 @@
     world.arrive(0, Time(0), TIMEOUT, None);
     assert!(world.shed.is_empty(), "a newcomer beside two runs at the disk was shed: {:?}", world.shed);
 }
+
+#[test]
+fn credit_is_spread_over_the_callers_that_send_here() {
+    // Told a thousand callers at start, a node said a five-hundredth of a req each, which reads as: stay away.
+    let mut world = World::new(Set { reading: Reading::Credit, callers: 1000.0, ..PLAIN });
+    for caller in [1, 2, 1, 2] {
+        world.caller = Some(CallerId(caller));
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.pass(Time(100));
+        world.end(id, RunEnd::Done);
+    }
+    assert!(world.advice >= 0.5, "credit {} for two callers", world.advice);
+    // Unnamed callers are as many as told.
+    let mut world = World::new(Set { reading: Reading::Credit, callers: 1000.0, ..PLAIN });
+    let id = world.arrive(0, Time(0), TIMEOUT, None);
+    world.pass(Time(100));
+    world.end(id, RunEnd::Done);
+    assert!(world.advice < 0.01, "credit {} for a thousand callers", world.advice);
+}
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -76,6 +76,8 @@
     pub caps: Vec<Time>,
     /// Whose reqs arrive; else each customer's in turn.
     pub customer: Option<usize>,
+    /// Who sends them, where told.
+    pub caller: Option<CallerId>,
     next: u32,
 }
 
@@ -125,6 +127,7 @@
             advice,
             caps,
             customer: None,
+            caller: None,
             next,
         };
         world.wake(0.0);
@@ -152,7 +155,19 @@
         let customer = Some(CustomerId(self.customer.unwrap_or(id.0 as usize % 4)));
         let (hint, retry) = (None, id.0.is_multiple_of(5));
         let handler = HandlerId(place);
-        let new = Arrival { id, handler, customer, hint, retry, repeats, kb: 10.0, lay, unread: lay, wait };
+        let new = Arrival {
+            id,
+            handler,
+            customer,
+            caller: self.caller,
+            hint,
+            retry,
+            repeats,
+            kb: 10.0,
+            lay,
+            unread: lay,
+            wait,
+        };
         let results = self.decider.arrival(self.now, new);
         self.apply(results);
         id
