Sheds ask for no further try once a fifth here were shed; every shed names a time

The rule that asks for no further try looks at the share of retries, which is always 0 where retries are unmarked. A shed also named no time to come back where advice is read (pause = over x chance, 0 under a full burden).

Change: `turn_away` asks for no further try once retries or sheds pass a fifth of arrivals; the pause is at least the shed req's cost over the cores, plus the spread share of what is over. Tests sheds_ask_for_no_further_try_once_many_are_shed_though_no_retry_is_marked and a_req_that_cannot_be_won_is_shed_at_once_with_a_time_to_come_back fail without them.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -619,13 +619,15 @@
         self.advice.load.add(now, 3, 1.0);
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.left.is_some();
-        let last = !leaving && (req.new.retry || retries > LAST_SHARE * arrivals);
+        let last = !leaving && (req.new.retry || retries.max(shed) > LAST_SHARE * arrivals);
         // Where no share can be advised, the time for one req of each caller; else past a full burden, not alike.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
         let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
         let spread = self.advice.reading == Reading::Unused;
-        let wait = if spread { turn * dear.min(1.0) } else { over * self.advice.chance.draw() };
+        // A shed names a time to come back: at least that in which the cores make room for it.
+        let room = self.costs.of(&req) / self.pool.cores;
+        let wait = if spread { turn * dear.min(1.0) } else { over * self.advice.chance.draw() + room };
         let pause = if leaving { self.advice.longest_pause } else { Time(wait as i64) };
         out.shed.push(Shed { id, pause: pause.min(self.advice.longest_pause), last });
     }
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -359,3 +359,27 @@
     world.end(id, RunEnd::Done);
     assert!(world.advice < 0.01, "credit {} for a thousand callers", world.advice);
 }
+
+#[test]
+fn sheds_ask_for_no_further_try_once_many_are_shed_though_no_retry_is_marked() {
+    // Unmarked walks through a full fleet paid the reading of each server on their way, up to ten of them.
+    let mut world = World::new(PLAIN);
+    world.wake(1.0);
+    arrive(&mut world, 40, Time(500));
+    let last = world.shed.iter().filter(|s| s.last).count();
+    assert!(!world.shed.is_empty() && last * 2 > world.shed.len(), "{last} of {:?}", world.shed.len());
+    assert!(!world.shed[0].last, "the first shed, among few, asked for no further try");
+}
+
+#[test]
+fn a_req_that_cannot_be_won_is_shed_at_once_with_a_time_to_come_back() {
+    // Held toward its client timeout, a lost req kept its caller from asking elsewhere and named no time.
+    for reading in [Reading::Share, Reading::Credit, Reading::Rank] {
+        let mut world = World::new(Set { reading, ..PLAIN });
+        world.wake(1.0);
+        arrive(&mut world, 40, Time(0));
+        let held = world.count(State::Held);
+        assert!(world.shed.len() + held + world.count(State::OnCore) == 40 && held < 10, "{held} held");
+        assert!(world.shed.iter().all(|s| s.pause > Time(0)), "{reading:?}: {:?}", world.shed);
+    }
+}
