The program takes the new shape: front.callers, and refuses it mixed with upstreams

Cause: since the module spreads credit over the callers heard; on sockets a caller is a connection, and in the first shape the program must keep counting the sidecars told at start. Nothing in the configuration said which.

Change: `front.callers` ("told", the default when absent, or "connections") in the program's configuration; with "connections" each req carries its connection as its caller. `family_info.upstreams` beside "connections" is refused at start with one line naming settings.family_info.upstreams, exit 2 (at SIGHUP the parse fails: a log line, the old one serves on).

--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -73,9 +73,32 @@
     /// How long the answer of a read may be handed to others.
     pub fresh: Time,
     pub places: Places,
+    /// Whether credit is spread over the callers heard on connections (the shape of many sidecars, each seldom
+    /// here), or over `family_info.upstreams` as told at start (the first shape, and the default).
+    pub callers_heard: bool,
     settings: Value,
 }
 
+/// `front.callers`: where the callers that share the credit are counted. The two shapes may not be mixed: a
+/// count told at start beside callers heard would be two answers to one question.
+fn callers_heard(all: &Value, conf: &Value) -> Result<bool, Wrong> {
+    let Some(front) = settings::present(all, "front") else { return Ok(false) };
+    let callers = front.get("callers").and_then(Value::as_str);
+    let heard = match callers {
+        Some("told") => false,
+        Some("connections") => true,
+        _ => return Err(format!("front.callers is {:?}: expected \"connections\" or \"told\"", callers)),
+    };
+    let told = conf.get("family_info").and_then(|info| settings::present(info, "upstreams"));
+    if let Some(told) = told.filter(|_| heard) {
+        return Err(format!(
+            "settings.family_info.upstreams is {told}, beside front.callers = \"connections\": the first shape \
+             and the new one are mixed; expected one of the two"
+        ));
+    }
+    Ok(heard)
+}
+
 impl Config {
     pub fn read(path: &str) -> Result<Self, Wrong> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
@@ -118,6 +141,7 @@
             kinds: settings::kinds(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             fresh: settings::fresh(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             places,
+            callers_heard: callers_heard(&all, conf)?,
             settings: conf.clone(),
         };
         if config.name.is_empty()
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -446,7 +446,7 @@
             id,
             handler: req.handler,
             customer: req.customer,
-            caller: Some(CallerId(conn.0)),
+            caller: self.config.callers_heard.then_some(CallerId(conn.0)),
             hint: req.hint.map(span_of_ms),
             retry: req.retry,
             repeats,
--- a/crates/server/tests/serve/start.rs
+++ b/crates/server/tests/serve/start.rs
@@ -8,7 +8,10 @@
 /// Guards newcomers and operators: one line that names what is wrong, and an exit code that says so.
 #[test]
 fn a_bad_configuration_is_told_in_one_line() {
-    let cases: [(&str, Spoil); 10] = [
+    let cases: [(&str, Spoil); 12] = [
+        // The first shape's count of callers beside callers heard on connections: the two are mixed.
+        ("family_info.upstreams", |c| c["front"] = json!({ "callers": "connections" })),
+        ("front.callers", |c| c["front"] = json!({ "callers": "everyone" })),
         ("engine", |c| c["engine"] = json!("nowhere")),
         ("listen", |c| c["listen"] = json!(5)),
         ("settings", |c| c["settings"] = json!([])),
@@ -40,6 +43,23 @@
     assert_eq!(said(&["version"]).0, Some(0));
 }
 
+/// Guards the move: one build takes the first shape and the new one, each from its settings alone.
+#[test]
+fn both_shapes_start() {
+    let mut new = settings();
+    new["front"] = json!({ "callers": "connections" });
+    new["settings"]["family_info"].as_object_mut().unwrap().remove("upstreams");
+    new["settings"]["family_info"]["advert"] = json!("tokens");
+    let mut told = settings();
+    told["front"] = json!({ "callers": "told" });
+    for conf in [settings(), new, told] {
+        let path = written(&conf.to_string());
+        let (code, text) = said(&["check", "--config", path.to_str().unwrap()]);
+        assert_eq!(code, Some(0), "{text}");
+        std::fs::remove_file(path).unwrap();
+    }
+}
+
 /// Guards against two servers on one address: the second says so and ends.
 #[test]
 fn an_address_in_use_is_told() {
