A lone shed among few arrivals asks for another try: the stand-in counts sheds before it

With a second of arrivals being four or five, one shed passed a fifth of them, so every shed of a quiet node asked for no further try.

Change: the stand-in counts the sheds before this one (`shed - 1`). Test a_lone_shed_among_few_arrivals_asks_for_another_try fails without it.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -619,7 +619,7 @@
         self.advice.load.add(now, 3, 1.0);
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.left.is_some();
-        let last = !leaving && (req.new.retry || retries.max(shed) > LAST_SHARE * arrivals);
+        let last = !leaving && (req.new.retry || retries.max(shed - 1.0) > LAST_SHARE * arrivals);
         // Where no share can be advised, the time for one req of each caller; else past a full burden, not alike.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
         let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -383,3 +383,16 @@
         assert!(world.shed.iter().all(|s| s.pause > Time(0)), "{reading:?}: {:?}", world.shed);
     }
 }
+
+#[test]
+fn a_lone_shed_among_few_arrivals_asks_for_another_try() {
+    // On a quiet day every shed asked for no further try: one shed among four arrivals passed a fifth of them.
+    let mut world = World::new(PLAIN);
+    world.wake(1.0);
+    for _ in 0..12 {
+        arrive(&mut world, 1, Time(0));
+        world.pass(Time(4000));
+    }
+    let first = world.shed.first().expect("no shed at all");
+    assert!(!first.last, "{:?}", world.shed);
+}
