--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -418,7 +418,7 @@
                 self.calls.lingering.push(now + self.calls.linger);
             }
             let handler = self.hold.handlers[req.handler()];
-            // A call is made again where that is safe or it never ran; one that ended leaves its place to the next.
+            // A call is made again where that is safe or it never ran; one that ended leaves its place.
             let (ended, safe) = (end == CallEnd::Spoilt, handler.kind == Kind::Replayable);
             let again = safe && (ended || self.calls.spare()) || end == CallEnd::NeverRan;
             if end == CallEnd::Done {
@@ -552,8 +552,8 @@
         let calls = self.reqs.values().filter(|r| r.phase == Phase::Calling).count();
         self.calls.lingering.retain(|end| *end > now);
         self.calls.held.add(now, 0, (calls + self.calls.lingering.len()) as f64 * span);
-        // Departure: the cores' gauge, where there is one, tells how much of them the runs had; runs that wait
-        // on the disk have the rest, so that a disk wait is not taken for work (manila-main's reads and writes).
+        // Departure: the cores' gauge, where there is one, tells how much of them the runs had; runs
+        // at the disk have the rest, so that a disk wait is not taken for work (manila-main).
         let busy = self.pool.busy.max(FLOOR_PART) * self.pool.cores;
         self.costs.clock += span * (busy.min(self.pool.cores) / (on_core as f64).max(1.0)).min(1.0);
         self.costs.last = now;
@@ -620,7 +620,7 @@
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.left.is_some();
         let last = !leaving && (req.new.retry || retries.max(shed - 1.0) > LAST_SHARE * arrivals);
-        // Where no share can be advised, the time for one req of each caller; else past a full burden, not alike.
+        // Where no share can be advised, the time for one req of each caller; else past a full burden.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
         let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
@@ -653,7 +653,7 @@
         }
     }
 
-    /// A call that may be made again is given up early: the next may end well where this one hangs or is lost.
+    /// A call that may be made again is given up early: the next may end well where this one hangs.
     fn call(&mut self, now: Time, id: ReqId, out: &mut Results) {
         let Some(req) = self.reqs.get(&id) else { return };
         let (due, handler) = (self.due_at(req), &self.hold.handlers[req.handler()]);
