Cores of fleet-wide budgets: leases, registry by raft, and a simulated world that counts units

Need: a budget that belongs to the whole fleet is cut into fixed parts today; an instance that idles keeps its part, one that joins beyond N breaks the ceiling.

Off in the program: nothing uses these packages yet.

--- /dev/null
+++ b/crates/budget/src/shares.rs
@@ -0,0 +1,248 @@
+//! A member's own part: what it may use of each budget now, and what it asks for. It trusts a share until its lease
+//! is over by its own clock, counted from before it asked, and not one moment longer.
+use crate::{Ask, Epoch, Holder, Nonce, Reply, Terms, Want, MOST_BUDGETS};
+use cottondyke_decide::types::Time;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Parts of a lease after which it asks again, and after which it asks once more where no answer came.
+const RENEW: f64 = 0.25;
+const AGAIN: f64 = 0.1;
+/// A changed need or a share given back is told no sooner than this part of a lease after the last asking.
+const SOON: f64 = 0.01;
+/// Askings that may be unanswered; the oldest are forgotten.
+const MOST_ASKED: usize = 64;
+
+/// What a member sees of its own use of one budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Units in use, those that linger among them.
+    pub held: u32,
+    pub need: u32,
+    pub weight: f64,
+}
+
+#[derive(Debug, Default)]
+struct Mine {
+    epoch: Epoch,
+    cap: u32,
+    usage: Usage,
+    /// The most that was allowed since use was last told: so much may have been begun meanwhile.
+    allowed: u32,
+    /// What was last asked, to see what has changed.
+    said: (u32, u32),
+}
+
+#[derive(Debug)]
+pub struct Shares {
+    me: Holder,
+    former: Option<u64>,
+    terms: Terms,
+    mine: BTreeMap<String, Mine>,
+    nonce: Nonce,
+    /// When each asking that is not answered yet was made.
+    asked: VecDeque<(Nonce, Time)>,
+    last: Option<Time>,
+    answered: Nonce,
+    until: Time,
+    leaving: bool,
+    hurried: bool,
+}
+
+impl Shares {
+    /// `former`: an earlier life of this name that is known to be over.
+    pub fn new(me: Holder, former: Option<u64>, terms: Terms) -> Self {
+        Shares {
+            me,
+            former,
+            terms,
+            mine: BTreeMap::new(),
+            nonce: Nonce(0),
+            asked: VecDeque::new(),
+            last: None,
+            answered: Nonce(0),
+            until: Time(i64::MIN / 4),
+            leaving: false,
+            hurried: false,
+        }
+    }
+
+    pub fn me(&self) -> &Holder {
+        &self.me
+    }
+
+    /// The budgets that are used here; others are given up.
+    pub fn name(&mut self, budgets: impl Iterator<Item = String>) {
+        let names: Vec<String> = budgets.take(MOST_BUDGETS).collect();
+        self.mine.retain(|name, _| names.contains(name));
+        for name in names {
+            self.mine.entry(name).or_default();
+        }
+    }
+
+    /// What is in use at this moment.
+    pub fn used(&mut self, budget: &str, usage: Usage) {
+        if let Some(mine) = self.mine.get_mut(budget) {
+            (mine.usage, mine.allowed) = (usage, mine.cap);
+        }
+    }
+
+    /// It needs nothing more, and gives back what falls free.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Units that may be in use now, lingering ones among them.
+    pub fn ceiling(&self, now: Time, budget: &str) -> u32 {
+        let live = now < self.until || !self.terms.defences.lease;
+        self.mine.get(budget).filter(|_| live).map_or(0, |mine| mine.cap)
+    }
+
+    /// When what `ceiling` says ends by itself.
+    pub fn until(&self) -> Time {
+        if self.terms.defences.lease {
+            self.until
+        } else {
+            Time::MAX
+        }
+    }
+
+    pub fn epoch(&self, budget: &str) -> Epoch {
+        self.mine.get(budget).map_or(Epoch::default(), |mine| mine.epoch)
+    }
+
+    /// All that it was ever granted is back.
+    pub fn empty(&self) -> bool {
+        self.mine.values().all(|mine| mine.cap == 0 && mine.usage.held == 0)
+    }
+
+    fn want(&self, name: &str, mine: &Mine) -> Want {
+        Want {
+            budget: name.to_string(),
+            need: if self.leaving { 0 } else { mine.usage.need.max(mine.usage.held) },
+            weight: mine.usage.weight,
+            holds: mine.cap.max(mine.usage.held).max(mine.allowed),
+            epoch: mine.epoch,
+        }
+    }
+
+    /// The next asking is due soon: the last went to one who could not answer it.
+    pub fn hurry(&mut self) {
+        self.hurried = true;
+    }
+
+    /// When the next asking is due; it may be earlier where use changes.
+    pub fn next(&self) -> Time {
+        let Some(last) = self.last else { return Time(i64::MIN / 4) };
+        let part = match self.asked.is_empty() {
+            _ if self.hurried => SOON,
+            true => RENEW,
+            false => AGAIN,
+        };
+        last + self.terms.lease.times(part)
+    }
+
+    /// An asking, where one is due: the time that its lease counts from is now, before it is sent.
+    pub fn ask(&mut self, now: Time) -> Option<Ask> {
+        if self.mine.is_empty() {
+            return None;
+        }
+        let wants: Vec<Want> = self.mine.iter().map(|(name, mine)| self.want(name, mine)).collect();
+        let changed = self.mine.values().zip(&wants).any(|(mine, want)| {
+            let (need, holds) = mine.said;
+            want.holds < holds || want.need > need.max(mine.cap) || (want.need == 0) != (need == 0)
+        });
+        let soon = self.last.is_none_or(|last| now >= last + self.terms.lease.times(SOON));
+        if now < self.next() && !(changed && soon) {
+            return None;
+        }
+        for (mine, want) in self.mine.values_mut().zip(&wants) {
+            mine.said = (want.need, want.holds);
+        }
+        self.nonce.0 += 1;
+        self.last = Some(now);
+        self.hurried = false;
+        self.asked.push_back((self.nonce, now));
+        if self.asked.len() > MOST_ASKED {
+            self.asked.pop_front();
+        }
+        Some(Ask { holder: self.me.clone(), nonce: self.nonce, former: self.former, wants })
+    }
+
+    /// What the leader told. A late, repeated or foreign word changes nothing for the worse: an answer counts once and
+    /// from its own asking, and under the epoch that is known a share only falls.
+    pub fn told(&mut self, reply: &Reply) {
+        if reply.holder != self.me {
+            return;
+        }
+        if reply.nonce < self.answered {
+            return;
+        }
+        if reply.nonce > self.answered {
+            let Some(at) = self.asked.iter().find(|(n, _)| *n == reply.nonce).map(|(_, at)| *at) else {
+                return;
+            };
+            self.answered = reply.nonce;
+            self.asked.retain(|(n, _)| *n > reply.nonce);
+            self.until = self.until.max(at + self.terms.lease);
+        }
+        for told in &reply.told {
+            let Some(mine) = self.mine.get_mut(&told.budget) else { continue };
+            if told.epoch > mine.epoch {
+                (mine.epoch, mine.cap) = (told.epoch, told.amount);
+                mine.allowed = mine.allowed.max(mine.cap);
+            } else if told.epoch == mine.epoch {
+                mine.cap = mine.cap.min(told.amount);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Defences, Told};
+
+    fn shares() -> Shares {
+        let me = Holder { name: "a".into(), life: 1 };
+        let terms = Terms { lease: Time(30_000), slip: Time(0), defences: Defences::default() };
+        let mut shares = Shares::new(me, None, terms);
+        shares.name(["calls".to_string()].into_iter());
+        shares
+    }
+
+    fn told(shares: &mut Shares, nonce: Nonce, epoch: u64, amount: u32) {
+        let told = vec![Told { budget: "calls".into(), epoch: Epoch(epoch), amount }];
+        shares.told(&Reply { holder: shares.me().clone(), nonce, told });
+    }
+
+    /// Guards the ceiling: calls begun after use was last told, and before the share shrank, are not given back.
+    #[test]
+    fn what_may_have_begun_since_use_was_told_is_not_given_back() {
+        let mut shares = shares();
+        let first = shares.ask(Time(0)).unwrap().nonce;
+        told(&mut shares, first, 1, 8);
+        shares.used("calls", Usage { held: 2, need: 8, weight: 1.0 });
+        // Six more begin here, and before they are told of the share shrinks.
+        told(&mut shares, first, 1, 2);
+        assert_eq!(shares.ceiling(Time(1), "calls"), 2);
+        assert_eq!(shares.ask(Time(29_000)).unwrap().wants[0].holds, 8);
+        shares.used("calls", Usage { held: 5, need: 8, weight: 1.0 });
+        assert_eq!(shares.ask(Time(59_000)).unwrap().wants[0].holds, 5);
+    }
+
+    /// Guards the ceiling: a lease counts from its asking, an old answer is worth nothing, an epoch only falls.
+    #[test]
+    fn answers_count_once_and_from_their_asking() {
+        let mut shares = shares();
+        let first = shares.ask(Time(0)).unwrap().nonce;
+        let second = shares.ask(Time(10_000)).unwrap().nonce;
+        told(&mut shares, second, 2, 4);
+        told(&mut shares, first, 1, 9);
+        told(&mut shares, second, 2, 9);
+        assert_eq!(shares.ceiling(Time(39_999), "calls"), 4);
+        assert_eq!(shares.ceiling(Time(40_000), "calls"), 0);
+        // No asking bears this number.
+        told(&mut shares, Nonce(99), 3, 9);
+        assert_eq!(shares.ceiling(Time(39_999), "calls"), 4);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/instance.rs
@@ -0,0 +1,496 @@
+//! The instance: which word goes to which core, and what each core's effects mean for the others.
+use crate::word::Word;
+use cottondyke_budget::{
+    Ask, Command, Epoch, Granter, Holdback, Holder, Shares, Table, Terms, Usage, MOST_HOLDERS,
+};
+use cottondyke_decide::types::Time;
+use cottondyke_registry::{self as registry, Founding, Keeper, KeeperId, Saved, State, Write};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A keeper's tick.
+pub const TICK: Time = Time(500);
+/// Ticks after which a confirmation that did not come is asked for again, and after which a snapshot under way is
+/// taken to have arrived, or to be sent anew.
+const CONFIRM_TICKS: u64 = 4;
+const SNAPSHOT_TICKS: u64 = 10;
+/// Part of a lease after which an asking without an answer goes to another keeper.
+const PATIENCE: f64 = 0.15;
+
+/// What the registry agrees on.
+#[derive(Debug, Default)]
+pub struct Agreed(pub Table);
+
+impl State for Agreed {
+    fn apply(&mut self, command: &[u8]) {
+        // A command that cannot be read, or meets another state than it was made from, changes nothing anywhere.
+        if let Ok(command) = postcard::from_bytes::<Command>(command) {
+            let _ = self.0.apply(&command);
+        }
+    }
+
+    fn save(&self) -> Vec<u8> {
+        postcard::to_allocvec(&self.0).unwrap_or_default()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> bool {
+        postcard::from_bytes(bytes).map(|table| self.0 = table).is_ok()
+    }
+}
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub me: Holder,
+    /// An earlier life of this name that is known to be over.
+    pub former: Option<u64>,
+    /// The keepers' names and addresses, alike in every instance's file.
+    pub keepers: BTreeMap<String, SocketAddr>,
+    /// Name, units and linger of each budget.
+    pub wholes: Vec<(String, u32, Time)>,
+    pub terms: Terms,
+    pub seed: u64,
+}
+
+/// One line for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    Share {
+        budget: String,
+        before: u32,
+        now: u32,
+        epoch: Epoch,
+    },
+    /// The lease of all shares is over, or in force again.
+    Lease(bool),
+    Leads(bool),
+    Founded(usize),
+    /// The registry's disk, or what it held, is of no use: this keeper takes part no longer.
+    KeeperBroken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// To be carried out in order; then `stored` is called with its number, or `store_failed`.
+    Store(Write),
+    Tell(Change),
+}
+
+struct Keeping {
+    keeper: Keeper<Agreed>,
+    founding: Founding,
+    id: KeeperId,
+    tick: Time,
+    ticks: u64,
+    /// When the confirmation that is under way was asked for.
+    confirming: Option<u64>,
+    told_broken: bool,
+    /// Whether the state that it began with is on disk: before that nothing is said of it.
+    begun: bool,
+    seed: u64,
+}
+
+pub struct Instance {
+    setup: Setup,
+    keeping: Option<Keeping>,
+    granter: Granter,
+    shares: Shares,
+    /// The keeper that is asked, by its place in the order of names.
+    asked: usize,
+    /// When the oldest asking without an answer was made.
+    waits: Option<Time>,
+    /// Addresses from which members last asked.
+    from: BTreeMap<Holder, SocketAddr>,
+    known: BTreeMap<String, u32>,
+    live: bool,
+    out: Vec<Effect>,
+}
+
+impl Instance {
+    /// `saved`: what the disk of its keeper holds, where this instance is one.
+    pub fn new(setup: Setup, saved: Option<&Saved>) -> Result<Self, String> {
+        let keeping = saved.map(|saved| Keeping::new(&setup.me.name, saved, setup.seed)).transpose()?;
+        let mut shares = Shares::new(setup.me.clone(), setup.former, setup.terms);
+        shares.name(setup.wholes.iter().map(|(name, ..)| name.clone()));
+        let own = setup.keepers.keys().position(|name| *name == setup.me.name);
+        Ok(Instance {
+            granter: Granter::new(setup.terms),
+            shares,
+            keeping,
+            asked: own.unwrap_or(setup.seed as usize % setup.keepers.len().max(1)),
+            waits: None,
+            from: BTreeMap::new(),
+            known: BTreeMap::new(),
+            live: false,
+            out: Vec::new(),
+            setup,
+        })
+    }
+
+    /// The file was read anew.
+    pub fn renew(
+        &mut self, now: Time, keepers: BTreeMap<String, SocketAddr>, wholes: Vec<(String, u32, Time)>,
+    ) -> Vec<Effect> {
+        self.shares.name(wholes.iter().map(|(name, ..)| name.clone()));
+        (self.setup.keepers, self.setup.wholes) = (keepers, wholes);
+        self.asked = 0;
+        self.after(now)
+    }
+
+    /// What this instance uses and needs of a budget; its effects come with the next `timer`.
+    pub fn used(&mut self, budget: &str, usage: Usage) {
+        self.shares.used(budget, usage);
+    }
+
+    pub fn leave(&mut self, now: Time) -> Vec<Effect> {
+        self.shares.leave();
+        self.after(now)
+    }
+
+    pub fn ceiling(&self, now: Time, budget: &str) -> u32 {
+        self.shares.ceiling(now, budget)
+    }
+
+    /// Until when what `ceiling` says may be used, by this clock.
+    pub fn until(&self) -> Time {
+        self.shares.until()
+    }
+
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// When `timer` is to be called at the latest.
+    pub fn next(&self) -> Time {
+        let tick = self.keeping.as_ref().filter(|k| k.begun).map_or(Time::MAX, |k| k.tick);
+        let until = if self.live { self.shares.until() } else { Time::MAX };
+        let patience = self.waits.map_or(Time::MAX, |at| at + self.setup.terms.lease.times(PATIENCE));
+        tick.min(self.shares.next()).min(until).min(patience)
+    }
+
+    pub fn timer(&mut self, now: Time) -> Vec<Effect> {
+        if let Some(keeping) = self.keeping.as_mut().filter(|k| now >= k.tick && k.begun) {
+            // A process that was stopped does not make up for the ticks that it missed.
+            keeping.tick = now + TICK;
+            keeping.ticks += 1;
+            let mut effects = keeping.keeper.tick();
+            let names: Vec<String> = self.setup.keepers.keys().cloned().collect();
+            effects.extend(keeping.keeper.dismiss(&names));
+            if keeping.ticks.is_multiple_of(SNAPSHOT_TICKS) {
+                for to in keeping.keeper.sending_snapshot() {
+                    keeping.keeper.snapshot_sent(to, true);
+                }
+            }
+            if keeping.confirming.is_some_and(|at| keeping.ticks >= at + CONFIRM_TICKS) {
+                keeping.confirming = None;
+                self.granter.unconfirmed();
+            }
+            self.carry(now, effects);
+            self.seek(now);
+        }
+        self.after(now)
+    }
+
+    /// A word came from the instance that listens at `from`.
+    pub fn heard(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) -> Vec<Effect> {
+        match Word::decode(bytes) {
+            Some(Word::Ask(ask)) => self.asked_by(now, from, ask),
+            Some(Word::Reply(reply)) => {
+                self.shares.told(&reply);
+                self.waits = None;
+            }
+            Some(Word::Elsewhere(leader)) => self.elsewhere(now, from, leader),
+            Some(Word::Raft(bytes)) => {
+                if let Some(keeping) = self.keeping.as_mut().filter(|k| k.begun) {
+                    let effects = keeping.keeper.heard(&bytes);
+                    self.carry(now, effects);
+                }
+            }
+            Some(Word::Seek(seek)) => self.sought(now, from, &seek),
+            Some(Word::Found(set)) => self.found(&set),
+            None => {}
+        }
+        self.after(now)
+    }
+
+    pub fn stored(&mut self, now: Time, number: u64) -> Vec<Effect> {
+        if let Some(keeping) = &mut self.keeping {
+            keeping.begun = true;
+            let effects = keeping.keeper.stored(number);
+            self.carry(now, effects);
+        }
+        self.after(now)
+    }
+
+    pub fn store_failed(&mut self, now: Time) -> Vec<Effect> {
+        if let Some(keeping) = &mut self.keeping {
+            let effects = keeping.keeper.fail();
+            self.carry(now, effects);
+        }
+        self.after(now)
+    }
+
+    /// What is agreed as far as this instance knows, where it keeps it.
+    pub fn table(&self) -> Option<&Table> {
+        self.keeping.as_ref().filter(|k| k.keeper.has_state()).map(|k| &k.keeper.state.0)
+    }
+
+    pub fn held_back(&self, now: Time) -> Vec<Holdback> {
+        self.table().map_or(Vec::new(), |table| self.granter.held_back(now, table))
+    }
+
+    /// What each member is to have, where this instance leads.
+    pub fn targets(&self, budget: &str) -> Vec<(String, u32)> {
+        self.granter.targets(budget)
+    }
+
+    pub fn leads(&self) -> bool {
+        self.granter.leads()
+    }
+
+    pub fn voters(&self) -> Vec<KeeperId> {
+        self.keeping.as_ref().map_or(Vec::new(), |k| k.keeper.voters())
+    }
+
+    fn say(&mut self, to: SocketAddr, word: &Word) {
+        self.out.push(Effect::Send { to, bytes: word.encode() });
+    }
+
+    fn asked_by(&mut self, now: Time, from: SocketAddr, ask: Ask) {
+        if self.granter.leads() {
+            if self.from.len() < MOST_HOLDERS || self.from.contains_key(&ask.holder) {
+                self.from.insert(ask.holder.clone(), from);
+            }
+            self.granter.ask(now, ask);
+        } else {
+            let leader =
+                self.keeping.as_ref().and_then(|k| k.keeper.names().get(&k.keeper.leader()?).cloned());
+            self.say(from, &Word::Elsewhere(leader.filter(|name| *name != self.setup.me.name)));
+        }
+    }
+
+    /// The asking goes to the keeper that leads, where the one that was asked knew it.
+    fn elsewhere(&mut self, now: Time, from: SocketAddr, leader: Option<String>) {
+        let asked = self.setup.keepers.values().nth(self.asked);
+        if asked != Some(&from) {
+            return;
+        }
+        if let Some(place) = leader.and_then(|name| self.setup.keepers.keys().position(|n| *n == name)) {
+            self.asked = place;
+            self.shares.hurry();
+        } else {
+            self.turn(now);
+        }
+    }
+
+    fn turn(&mut self, now: Time) {
+        self.asked = (self.asked + 1) % self.setup.keepers.len().max(1);
+        self.waits = Some(now);
+    }
+
+    /// A keeper without a state says so to all others.
+    fn seek(&mut self, now: Time) {
+        let Some(keeping) = self.keeping.as_mut().filter(|k| !k.keeper.has_state()) else { return };
+        if let Some(seek) = keeping.founding.seek(now) {
+            let mine = self.setup.me.name.clone();
+            let others: Vec<SocketAddr> =
+                self.setup.keepers.iter().filter(|(name, _)| **name != mine).map(|(_, addr)| *addr).collect();
+            for to in others {
+                self.say(to, &Word::Seek(seek.clone()));
+            }
+        }
+        let names: Vec<String> = self.setup.keepers.keys().cloned().collect();
+        let founds = self.keeping.as_ref().and_then(|k| k.founding.founds(now, &names));
+        if let Some(set) = founds {
+            self.begin(&set);
+        }
+    }
+
+    fn sought(&mut self, now: Time, from: SocketAddr, seek: &registry::Seek) {
+        let names: Vec<String> = self.setup.keepers.keys().cloned().collect();
+        let Some(keeping) = self.keeping.as_mut().filter(|k| k.begun) else { return };
+        if !keeping.keeper.has_state() {
+            if let Some(set) = keeping.founding.heard(now, seek, &names) {
+                self.begin(&set);
+            }
+            return;
+        }
+        // One that was among the founders and has not voted yet begins as they did; any other joins.
+        if keeping.keeper.founders().get(&seek.id) == Some(&seek.name) {
+            let set = keeping.keeper.founders().clone();
+            self.say(from, &Word::Found(set));
+        } else {
+            let effects = keeping.keeper.admit(seek.id, &seek.name, &names);
+            self.carry(now, effects);
+        }
+    }
+
+    fn found(&mut self, set: &BTreeMap<KeeperId, String>) {
+        let mine = self
+            .keeping
+            .as_ref()
+            .is_some_and(|k| !k.keeper.has_state() && set.get(&k.id) == Some(&self.setup.me.name));
+        if mine {
+            self.begin(set);
+        }
+    }
+
+    /// Begins with the state of a founder. The write goes first: nothing is said before it is on disk.
+    fn begin(&mut self, set: &BTreeMap<KeeperId, String>) {
+        let Some(keeping) = &mut self.keeping else { return };
+        let write = Keeper::founded(set, &Agreed::default());
+        let mut saved = Saved::new(keeping.id);
+        saved.apply(write.clone());
+        let Ok(keeper) = Keeper::open(&saved, Agreed::default(), keeping.seed) else { return };
+        (keeping.keeper, keeping.begun) = (keeper, false);
+        self.out.push(Effect::Store(write));
+        self.out.push(Effect::Tell(Change::Founded(set.len())));
+    }
+
+    /// What the keeper wants done, and what it means for the granter.
+    fn carry(&mut self, now: Time, effects: Vec<registry::Effect>) {
+        for effect in effects {
+            match effect {
+                registry::Effect::Send { to, bytes } => {
+                    let name = self.keeping.as_ref().and_then(|k| k.keeper.names().get(&to));
+                    if let Some(addr) = name.and_then(|name| self.setup.keepers.get(name)).copied() {
+                        self.say(addr, &Word::Raft(bytes));
+                    }
+                }
+                registry::Effect::Store(write) => self.out.push(Effect::Store(write)),
+                registry::Effect::Leads(leads) => {
+                    self.granter.lead(leads.then_some(now));
+                    self.from.clear();
+                    if let Some(keeping) = &mut self.keeping {
+                        keeping.confirming = None;
+                    }
+                    self.out.push(Effect::Tell(Change::Leads(leads)));
+                }
+                registry::Effect::Confirmed(number) => {
+                    let Some(keeping) = &mut self.keeping else { continue };
+                    keeping.confirming = None;
+                    let replies = self.granter.confirmed(number, &keeping.keeper.state.0);
+                    self.reply(replies);
+                }
+                registry::Effect::Applied => {
+                    if let Some(keeping) = &self.keeping {
+                        self.granter.applied(&keeping.keeper.state.0);
+                    }
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, replies: Vec<cottondyke_budget::Reply>) {
+        for reply in replies {
+            if reply.holder == *self.shares.me() {
+                self.shares.told(&reply);
+                self.waits = None;
+            } else if let Some(to) = self.from.get(&reply.holder).copied() {
+                self.say(to, &Word::Reply(reply));
+            }
+        }
+    }
+
+    /// What follows from any event: proposals, answers, an asking of its own, and what changed for the log.
+    fn after(&mut self, now: Time) -> Vec<Effect> {
+        self.lead(now);
+        self.ask(now);
+        // Its own asking may be the first that waits.
+        self.lead(now);
+        self.tell(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn lead(&mut self, now: Time) {
+        if !self.granter.leads() {
+            return;
+        }
+        let Some(keeping) = &mut self.keeping else { return };
+        let commands = self.granter.commands(now, &keeping.keeper.state.0, &self.setup.wholes);
+        let mut effects = Vec::new();
+        for command in commands {
+            let bytes = postcard::to_allocvec(&command).unwrap_or_default();
+            effects.extend(keeping.keeper.propose(bytes).unwrap_or_default());
+        }
+        if let Some(number) = self.granter.confirm() {
+            keeping.confirming = Some(keeping.ticks);
+            effects.extend(keeping.keeper.confirm(number));
+        }
+        self.carry(now, effects);
+        if let Some(keeping) = self.keeping.as_ref().filter(|_| self.granter.leads()) {
+            let news = self.granter.news(&keeping.keeper.state.0);
+            self.reply(news);
+        }
+    }
+
+    fn ask(&mut self, now: Time) {
+        if self.waits.is_some_and(|at| now >= at + self.setup.terms.lease.times(PATIENCE)) {
+            self.turn(now);
+        }
+        let Some(ask) = self.shares.ask(now) else { return };
+        self.waits.get_or_insert(now);
+        let Some((name, to)) = self.setup.keepers.iter().nth(self.asked) else { return };
+        if *name != self.setup.me.name {
+            let to = *to;
+            self.say(to, &Word::Ask(ask));
+        } else if self.granter.leads() {
+            self.granter.ask(now, ask);
+        } else {
+            let leader = self.keeping.as_ref().and_then(|k| k.keeper.names().get(&k.keeper.leader()?));
+            let place = leader.and_then(|name| self.setup.keepers.keys().position(|n| n == name));
+            match place.filter(|place| *place != self.asked) {
+                Some(place) => {
+                    self.asked = place;
+                    self.shares.hurry();
+                }
+                None => self.turn(now),
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Time) {
+        let live = now < self.shares.until();
+        if live != self.live {
+            self.live = live;
+            self.out.push(Effect::Tell(Change::Lease(live)));
+        }
+        for (budget, ..) in &self.setup.wholes {
+            let share = self.shares.ceiling(now, budget);
+            let before = self.known.insert(budget.clone(), share).unwrap_or(0);
+            if before != share {
+                let epoch = self.shares.epoch(budget);
+                self.out.push(Effect::Tell(Change::Share {
+                    budget: budget.clone(),
+                    before,
+                    now: share,
+                    epoch,
+                }));
+            }
+        }
+        if let Some(keeping) = self.keeping.as_mut().filter(|k| k.keeper.is_broken() && !k.told_broken) {
+            keeping.told_broken = true;
+            self.out.push(Effect::Tell(Change::KeeperBroken));
+        }
+    }
+}
+
+impl Keeping {
+    fn new(name: &str, saved: &Saved, seed: u64) -> Result<Self, String> {
+        Ok(Keeping {
+            keeper: Keeper::open(saved, Agreed::default(), seed)?,
+            founding: Founding::new(name, saved.id),
+            id: saved.id,
+            tick: Time(i64::MIN / 4),
+            ticks: 0,
+            confirming: None,
+            told_broken: false,
+            begun: true,
+            seed,
+        })
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod load;
 mod outcome;
 mod trials;
+mod world;
 
 use lexopt::prelude::*;
 use outcome::Outcome;
@@ -12,6 +13,7 @@
 cottondyke-lab - trials of cottondyke among stand-ins that fail by a seeded schedule
 
 usage: cottondyke-lab trial NAME [--seed N] [--without DEFENCE] [--seconds S] [--verbose]
+       cottondyke-lab worlds [--seed N] [--count K] [--members M] [--without DEFENCE] [--verbose]
 
 trials:
   dependencies   3 nodes and 4 dependencies that hang, slow down, reset, answer late and spoil;
@@ -20,6 +22,9 @@
   restarts       nodes that are killed and started again, and the ceiling of a dependency;
                  --without restart
 
+worlds: K simulated worlds (default 100) of 5 to M members (default 100) from seed N on, the sum of units in
+  use held against the whole after every step; --without lease, fence, linger or need
+
 options:
   --seed N           draws the schedule (default 1)
   --without DEFENCE  runs with one defence off
@@ -34,6 +39,8 @@
     pub without: Option<String>,
     pub seconds: Option<u64>,
     pub verbose: bool,
+    pub count: u64,
+    pub members: usize,
 }
 
 impl Usage {
@@ -51,7 +58,7 @@
 }
 
 fn usage() -> Result<Option<(String, Usage)>, lexopt::Error> {
-    let mut usage = Usage { seed: 1, without: None, seconds: None, verbose: false };
+    let mut usage = Usage { seed: 1, without: None, seconds: None, verbose: false, count: 100, members: 100 };
     let (mut command, mut name) = (None, None);
     let mut words = lexopt::Parser::from_env();
     while let Some(word) = words.next()? {
@@ -59,6 +66,8 @@
             Long("seed") => usage.seed = words.value()?.parse()?,
             Long("without") => usage.without = Some(words.value()?.string()?),
             Long("seconds") => usage.seconds = Some(words.value()?.parse()?),
+            Long("count") => usage.count = words.value()?.parse()?,
+            Long("members") => usage.members = words.value()?.parse::<usize>()?.clamp(5, 1_000),
             Long("verbose") => usage.verbose = true,
             Long("help") | Short('h') => return Ok(None),
             Value(word) if command.is_none() => command = Some(word.string()?),
@@ -68,6 +77,7 @@
     }
     match (command.as_deref(), name) {
         (Some("trial"), Some(name)) => Ok(Some((name, usage))),
+        (Some("worlds"), None) => Ok(Some(("worlds".to_string(), usage))),
         (Some("trial"), None) => Err("trial: which one?".into()),
         (Some(other), _) => Err(format!("unknown command {other:?}").into()),
         (None, _) => Ok(None),
@@ -87,6 +97,7 @@
         }
     };
     let played: std::io::Result<Outcome> = match name.as_str() {
+        "worlds" => world::play(&usage),
         "dependencies" => trials::dependencies::play(&usage),
         "calm" => trials::calm::play(&usage),
         "restarts" => trials::restarts::play(&usage),
--- /dev/null
+++ b/crates/registry/src/founding.rs
@@ -0,0 +1,63 @@
+//! How a registry begins, and how a keeper without a state comes to one. Nobody begins a registry alone: the first
+//! keeper in the file's order founds it, only once all others said that they have none either, and writes the set
+//! down before it tells anyone.
+use crate::KeeperId;
+use cottondyke_decide::types::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How long the word of a keeper without a state counts.
+const FRESH: Time = Time(20_000);
+/// How often one says that it has none.
+const SEEK: Time = Time(2_000);
+
+/// "I have no state": the name and number of who says so.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seek {
+    pub name: String,
+    pub id: KeeperId,
+}
+
+#[derive(Debug)]
+pub struct Founding {
+    me: Seek,
+    heard: BTreeMap<String, (KeeperId, Time)>,
+    next: Time,
+}
+
+impl Founding {
+    pub fn new(name: &str, id: KeeperId) -> Self {
+        Founding { me: Seek { name: name.to_string(), id }, heard: BTreeMap::new(), next: Time(i64::MIN / 4) }
+    }
+
+    /// What to say to all other keepers now, if it is time.
+    pub fn seek(&mut self, now: Time) -> Option<Seek> {
+        if now < self.next {
+            return None;
+        }
+        self.next = now + SEEK;
+        Some(self.me.clone())
+    }
+
+    /// Another keeper has no state either. The founding set, where this one founds: `names` are the file's keepers.
+    pub fn heard(&mut self, now: Time, seek: &Seek, names: &[String]) -> Option<BTreeMap<KeeperId, String>> {
+        if !names.contains(&seek.name) || seek.name == self.me.name {
+            return None;
+        }
+        self.heard.insert(seek.name.clone(), (seek.id, now));
+        self.founds(now, names)
+    }
+
+    /// The set, where this keeper is the first in order and all others were heard lately.
+    pub fn founds(&self, now: Time, names: &[String]) -> Option<BTreeMap<KeeperId, String>> {
+        if names.iter().min() != Some(&self.me.name) {
+            return None;
+        }
+        let mut set = BTreeMap::from([(self.me.id, self.me.name.clone())]);
+        for name in names.iter().filter(|name| **name != self.me.name) {
+            let (id, _) = self.heard.get(name).filter(|(_, at)| now < *at + FRESH)?;
+            set.insert(*id, name.clone());
+        }
+        (set.len() == names.len()).then_some(set)
+    }
+}
