Ceilings of dependencies are lent to instances that know each other, over peers(...)

Need: fixed parts of a ceiling idle with the instance that idles. Change: peers(...) in the operator's file, crates/server fleet (links, disk, looks), gates take their ceiling from a share that is lent and may end at any moment, a last look right before the first byte, cottondyke peers ADDR, a change of front at SIGHUP named in the log. Without peers(...) none of it exists: no listener, thread or timer.

--- a/crates/depend/src/gate.rs
+++ b/crates/depend/src/gate.rs
@@ -87,7 +87,8 @@
 impl Gate {
     /// `restarted`: whether a former life of this instance may have left calls there.
     pub fn new(now: Time, spec: Rc<Dependency>, defences: Defences, restarted: bool) -> Self {
-        let blind = restarted && defences.limit && defences.restart;
+        // What a former life may have left is kept back of a share that is lent before it is lent again.
+        let blind = restarted && defences.limit && defences.restart && spec.lent.is_none();
         let ghosts = if blind { (spec.share, now + spec.linger) } else { (0, now) };
         Gate {
             limit: Limit::new(spec.floor, spec.share, defences.adapt),
@@ -123,6 +124,23 @@
         self.in_hand + lingering + ghosts
     }
 
+    /// The limit follows a share that was lent, and adapts below it.
+    pub fn follow(&mut self, now: Time) {
+        if let Some(lent) = &self.spec.lent {
+            self.limit.follow(lent.units(now));
+        }
+    }
+
+    /// Calls that could be in use now: those held and what waits, but no more than the limit would let out.
+    pub fn need(&self, now: Time) -> usize {
+        let wanted = self.held(now) + self.waiting.len() + self.hedging.len();
+        if self.limit.is_full() {
+            wanted
+        } else {
+            wanted.min(self.limit.calls() + 1)
+        }
+    }
+
     /// The most that may wait now.
     pub fn most_waiting(&self) -> usize {
         self.spec.waiting.max(self.waited)
@@ -143,7 +161,9 @@
             Pass::No => return Verdict::Shut,
             pass => pass == Pass::Probe,
         };
-        if self.limited && self.held(now) + 1 > self.limit.calls() {
+        let held = self.held(now);
+        let lent = self.spec.lent.as_ref().map_or(usize::MAX, |lent| lent.units(now));
+        if held + 1 > lent || self.limited && held + 1 > self.limit.calls() {
             return Verdict::Full;
         }
         Verdict::Go { probe }
--- a/crates/depend/src/lib.rs
+++ b/crates/depend/src/lib.rs
@@ -15,5 +15,5 @@
 pub mod plan;
 pub mod retry;
 
-pub use pages::{Action, Answer, CallId, Outcome, Pages, PartEnd, Start, State};
-pub use plan::{Defences, Dependency, Fallback, Page, Part, Plan, RESERVE};
+pub use pages::{Action, Answer, CallId, Outcome, Pages, PartEnd, Start, State, Use};
+pub use plan::{Defences, Dependency, Fallback, Lent, Page, Part, Plan, RESERVE};
--- a/crates/depend/src/limit.rs
+++ b/crates/depend/src/limit.rs
@@ -45,6 +45,21 @@
         self.adapts = adapts;
     }
 
+    /// The most changed: a limit that stood at it goes with it, one that was learned below it stays.
+    pub fn follow(&mut self, most: usize) {
+        let most = most.max(1) as f64;
+        if self.now >= self.most || !self.adapts {
+            (self.now, self.slow_start) = (most, most);
+        }
+        self.now = self.now.min(most);
+        self.most = most;
+    }
+
+    /// Whether nothing that was learned bounds it.
+    pub fn is_full(&self) -> bool {
+        self.now >= self.most
+    }
+
     /// Calls that may be held.
     pub fn calls(&self) -> usize {
         self.now as usize
--- a/crates/depend/src/pages.rs
+++ b/crates/depend/src/pages.rs
@@ -44,6 +44,8 @@
     Lost,
     /// A connection that was used before broke before any reply.
     Stale,
+    /// Known not to have run: the share that it was to use was over before it went out.
+    NoShare,
 }
 
 /// What a part of an answer is.
@@ -105,6 +107,14 @@
     },
 }
 
+/// What is used of a dependency, and could be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Use {
+    pub dependency: Rc<str>,
+    pub held: usize,
+    pub need: usize,
+}
+
 type GateId = usize;
 
 #[derive(Debug)]
@@ -325,7 +335,7 @@
             Outcome::Good(_) => Some(Learnt::Well),
             Outcome::Failed => Some(Learnt::Ill),
             Outcome::Refused | Outcome::Lost => Some(Learnt::Overload),
-            Outcome::Unfit | Outcome::Stale => Some(Learnt::Nothing),
+            Outcome::Unfit | Outcome::Stale | Outcome::NoShare => Some(Learnt::Nothing),
         };
         if let Some(learnt) = learnt {
             self.learn(now, call.gate, call.probe, learnt, &mut out);
@@ -365,7 +375,8 @@
             // The second call of the step is still out.
             _ if !step.calls.is_empty() => {}
             outcome => {
-                let safe = may_repeat && outcome != Outcome::Unfit || outcome == Outcome::Refused;
+                let unsent = matches!(outcome, Outcome::Refused | Outcome::NoShare);
+                let safe = may_repeat && outcome != Outcome::Unfit || unsent;
                 let usual = self.gates[&call.gate].latency.usual().unwrap_or(Time(1));
                 let (tries, until) = (step.tries, step.until);
                 let again = safe && tries < TRIES && until - now > usual;
@@ -719,6 +730,31 @@
         }
     }
 
+    /// Shares that are lent may have changed: what waits goes, as far as there is room now. With it, what is used of
+    /// each dependency at this moment.
+    pub fn look(&mut self, now: Time) -> (Vec<Action>, Vec<Use>) {
+        let mut out = Vec::new();
+        let ids: Vec<GateId> =
+            self.gates.iter().filter(|(_, g)| g.spec.lent.is_some()).map(|(id, _)| *id).collect();
+        for id in &ids {
+            self.gates.entry(*id).and_modify(|gate| gate.follow(now));
+            self.drain(now, *id, &mut out);
+        }
+        let uses = ids.iter().filter_map(|id| self.gates.get(id)).map(|gate| Use {
+            dependency: gate.spec.name.clone(),
+            held: gate.held(now),
+            need: gate.need(now),
+        });
+        (out, uses.collect())
+    }
+
+    /// The dependencies that a page's parts ask first.
+    pub fn dependencies(&self, page: usize) -> impl Iterator<Item = &str> {
+        let plan = &self.force.plan;
+        let parts = plan.pages.get(page).into_iter().flat_map(|page| &page.parts);
+        parts.map(|part| &*plan.dependencies[part.dependency].name)
+    }
+
     pub fn open_runs(&self) -> usize {
         self.runs.len()
     }
--- a/crates/depend/src/plan.rs
+++ b/crates/depend/src/plan.rs
@@ -1,11 +1,53 @@
 //! What the operator's file says of dependencies and pages, checked and typed.
 use cottondyke_decide::types::Time;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Kept back of the time left, for composing an answer and sending it.
 pub const RESERVE: Time = Time(100);
 
+/// A share that was lent and may change or end at any moment. Whoever lends sets it; the gate looks at it again
+/// before each call.
+#[derive(Debug)]
+pub struct Lent {
+    units: Cell<usize>,
+    until: Cell<Time>,
+}
+
+impl Default for Lent {
+    fn default() -> Self {
+        Lent { units: Cell::new(0), until: Cell::new(Time(i64::MIN)) }
+    }
+}
+
+impl Lent {
+    pub fn set(&self, units: usize, until: Time) {
+        self.units.set(units);
+        self.until.set(until);
+    }
+
+    pub fn units(&self, now: Time) -> usize {
+        if now < self.until.get() {
+            self.units.get()
+        } else {
+            0
+        }
+    }
+
+    /// Whether calls may go out at all: nothing is lent once its time is over.
+    pub fn lasts(&self, now: Time) -> bool {
+        now < self.until.get()
+    }
+}
+
+/// One and the same share, whatever it is worth now.
+impl PartialEq for Lent {
+    fn eq(&self, other: &Lent) -> bool {
+        std::ptr::eq(self, other)
+    }
+}
+
 /// A service that parts of pages are asked of.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Dependency {
@@ -19,6 +61,8 @@
     pub budget: Time,
     /// Calls that this instance may hold there, those given up among them while they may go on. At least 1.
     pub share: usize,
+    /// What bounds the calls within `share`, where the share is lent and not fixed.
+    pub lent: Option<Rc<Lent>>,
     /// Calls that the limit never goes under; at most `share`.
     pub floor: usize,
     /// How long a call that was given up may go on at the dependency.
--- a/crates/depend/tests/random.rs
+++ b/crates/depend/tests/random.rs
@@ -17,6 +17,7 @@
         json: false,
         budget: Time(random.i64(50..3_000)),
         share,
+        lent: None,
         floor: random.usize(1..=share),
         linger: Time(random.i64(1..2_000)),
         waiting: random.usize(0..6),
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -5,6 +5,7 @@
 };
 use cottondyke_decide::types::Time;
 use cottondyke_registry::{self as registry, Founding, Keeper, KeeperId, Saved, State, Write};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -80,6 +81,49 @@
     Tell(Change),
 }
 
+/// What an instance knows, for operators. Spans in milliseconds from now.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub name: String,
+    pub life: u64,
+    /// The keeper that leads, as far as this instance keeps the registry and knows it.
+    pub leader: Option<String>,
+    pub leads: bool,
+    pub keeps: bool,
+    /// What is left of the lease of its own shares.
+    pub lease_ms: i64,
+    pub shares: Vec<(String, u32)>,
+    /// The table, where this instance keeps it.
+    pub budgets: Vec<BudgetView>,
+    /// What is kept back of shares whose holders are silent, where this instance leads.
+    pub held_back: Vec<HeldBack>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BudgetView {
+    pub name: String,
+    pub whole: u32,
+    pub linger_ms: i64,
+    pub shares: Vec<ShareView>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareView {
+    pub holder: String,
+    pub amount: u32,
+    pub epoch: u64,
+    /// Its lease ran out; what is left of it is kept back.
+    pub fenced: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeldBack {
+    pub budget: String,
+    pub holder: String,
+    pub units: u32,
+    pub for_ms: i64,
+}
+
 struct Keeping {
     keeper: Keeper<Agreed>,
     founding: Founding,
@@ -212,6 +256,11 @@
             }
             Some(Word::Seek(seek)) => self.sought(now, from, &seek),
             Some(Word::Found(set)) => self.found(&set),
+            Some(Word::Look) => {
+                let view = self.view(now);
+                self.say(from, &Word::View(Box::new(view)));
+            }
+            Some(Word::View(_)) => {}
             None => {}
         }
         self.after(now)
@@ -243,6 +292,47 @@
         self.table().map_or(Vec::new(), |table| self.granter.held_back(now, table))
     }
 
+    /// For operators, as this instance sees it.
+    pub fn view(&self, now: Time) -> View {
+        let shown = |holder: &Holder| format!("{}.{}", holder.name, holder.life);
+        let budgets =
+            self.table().into_iter().flat_map(|table| &table.budgets).map(|(name, whole)| BudgetView {
+                name: name.clone(),
+                whole: whole.units,
+                linger_ms: whole.linger / 10,
+                shares: whole
+                    .shares
+                    .iter()
+                    .map(|(h, s)| ShareView {
+                        holder: shown(h),
+                        amount: s.amount,
+                        epoch: s.epoch.0,
+                        fenced: s.fenced,
+                    })
+                    .collect(),
+            });
+        let budgets = budgets.collect();
+        let mine = self.setup.wholes.iter().map(|(name, ..)| (name.clone(), self.shares.ceiling(now, name)));
+        let back = self.held_back(now).into_iter().map(|back| HeldBack {
+            budget: back.budget,
+            holder: shown(&back.holder),
+            units: back.units,
+            for_ms: ((back.until - now).0 / 10).max(0),
+        });
+        let keeper = self.keeping.as_ref().map(|k| &k.keeper);
+        View {
+            name: self.setup.me.name.clone(),
+            life: self.setup.me.life,
+            leader: keeper.and_then(|k| k.names().get(&k.leader()?).cloned()),
+            leads: self.leads(),
+            keeps: keeper.is_some_and(|k| k.has_state() && !k.is_broken()),
+            lease_ms: ((self.shares.until() - now).0 / 10).max(0),
+            shares: mine.collect(),
+            budgets,
+            held_back: back.collect(),
+        }
+    }
+
     /// What each member is to have, where this instance leads.
     pub fn targets(&self, budget: &str) -> Vec<(String, u32)> {
         self.granter.targets(budget)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,5 +4,5 @@
 mod instance;
 mod word;
 
-pub use instance::{Agreed, Change, Effect, Instance, Setup, TICK};
+pub use instance::{Agreed, Change, Effect, Instance, Setup, View, TICK};
 pub use word::{Word, MOST_WORD};
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -1,5 +1,6 @@
 //! What instances say to each other: a version, then the word by `postcard`. Every word may be lost, late, twice or
 //! out of order; each is sent again by whoever needs its answer.
+use crate::instance::View;
 use cottondyke_budget::{Ask, Reply};
 use cottondyke_registry::{KeeperId, Seek};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,9 @@
     Seek(Seek),
     /// The keepers that a registry was founded with.
     Found(BTreeMap<KeeperId, String>),
+    /// An operator asks what this instance knows.
+    Look,
+    View(Box<View>),
 }
 
 impl Word {
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -13,6 +13,11 @@
     pub response_target: Time,
 }
 
+/// The name of the budget of a dependency's calls in hand.
+pub fn budget_of(dependency: &str) -> String {
+    format!("dependency/{dependency}")
+}
+
 fn wrong<T>(at: &Place, what: String) -> Result<T, Wrong> {
     Err(Wrong { at: at.clone(), what })
 }
@@ -50,14 +55,52 @@
         }
     }
 
-    /// This instance's share of a dependency's ceiling: the sum over all instances never passes it.
+    /// What a req of a handler is worth; 1 where the platform's configuration tells of it.
+    pub fn value(&self, handler: &str) -> f64 {
+        self.handlers.iter().find(|h| h.name == handler).map_or(1.0, |h| h.value)
+    }
+
+    /// Defences of what the fleet shares.
+    pub fn keeps(&self, defence: &str) -> bool {
+        !self.off.iter().any(|off| off == defence)
+    }
+
+    /// How long a call may hold its place at a dependency from when it is sent: as long as it is waited for, half as
+    /// long again in which it is listened to, and what it may go on after that.
+    pub fn longest_call(&self, dependency: &Dependency) -> Time {
+        Time(dependency.budget + dependency.budget / 2 + dependency.linger)
+    }
+
+    /// What each member may be lent: name of the budget, units, and how long one is in use after its share ended.
+    pub fn wholes(&self) -> Vec<(String, u32, Time)> {
+        let of = |d: &Dependency| (budget_of(&d.name), d.ceiling as u32, self.longest_call(d));
+        self.dependencies.iter().map(of).collect()
+    }
+
+    /// The most of a dependency's ceiling that this instance may use: its fixed part, over which the sum never passes
+    /// the ceiling, or all of it where what it may use is lent.
     pub fn share(&self, dependency: &Dependency) -> u64 {
+        if self.peers.is_some() {
+            return dependency.ceiling;
+        }
         dependency.ceiling / self.instances.unwrap_or(1).max(1)
     }
 
     /// Finds what cannot be obeyed: names that are not there, budgets that cannot fit, shares of nothing.
     pub fn check(&self, handlers: &[Known]) -> Result<(), Wrong> {
         once("handler", self.handlers.iter().map(|h| (h.name.as_str(), &h.at)))?;
+        if let (Some(peers), Some(instances)) = (&self.peers, self.instances) {
+            return wrong(&self.fleet, format!(
+                "fleet: instances = {instances} beside peers(...) in line {}: fixed parts and parts that are lent are mixed: \
+                 expected one of the two", peers.at.line
+            ));
+        }
+        if let (Some(_), Some(customer)) = (&self.peers, self.customers.first()) {
+            return wrong(&customer.at, format!(
+                "customer {:?} beside peers(...): its rate over the fleet cannot be divided yet: expected fleet(instances = N) \
+                 in place of peers", customer.name
+            ));
+        }
         once("customer", self.customers.iter().map(|c| (c.name.as_str(), &c.at)))?;
         once("dependency", self.dependencies.iter().map(|d| (d.name.as_str(), &d.at)))?;
         once("the page of handler", self.pages.iter().map(|p| (p.handler.as_str(), &p.at)))?;
@@ -111,9 +154,9 @@
     }
 
     fn check_dependency(&self, dependency: &Dependency) -> Result<(), Wrong> {
-        let Some(instances) = self.instances else {
+        let Some(instances) = self.instances.or(self.peers.as_ref().map(|_| 1)) else {
             return wrong(&dependency.at, format!(
-                "dependency {:?}: its ceiling of {} cannot be divided: expected fleet(instances = N) in the script",
+                "dependency {:?}: its ceiling of {} cannot be divided: expected fleet(instances = N) or peers(...) in the script",
                 dependency.name, dependency.ceiling
             ));
         };
@@ -211,6 +254,7 @@
                 json: d.json,
                 budget: Time(d.budget),
                 share,
+                lent: None,
                 floor: (d.floor as usize).min(share),
                 linger: Time(d.linger),
                 waiting: d.waiting.map_or(share, |n| n as usize),
@@ -251,9 +295,25 @@
     pub fn summary(&self, handlers: &[Known]) -> String {
         let mut text = String::new();
         let mut line = |words: String| text += &(words + "\n");
+        if let Some(peers) = &self.peers {
+            let keepers =
+                peers.keepers.iter().map(|(name, addr)| format!("{name} {addr}")).collect::<Vec<_>>();
+            line(format!(
+                "peers: {} in zone {} on {}, keepers {}; ceilings are lent for {} at a time; cut off from most keepers it \
+                 uses nothing of them once that is over",
+                peers.name, peers.zone, peers.listen, keepers.join(", "), in_words(Time(peers.lease))
+            ));
+        }
         let (plan, _) = self.plan(handlers);
         for (d, spec) in self.dependencies.iter().zip(&plan.dependencies) {
             let hedge = d.hedge.map_or("no hedging".into(), |q| format!("hedged after the {q} quantile"));
+            if self.peers.is_some() {
+                line(format!(
+                    "dependency {}: the share of an instance that is lost is free again {} after it was last heard",
+                    d.name,
+                    in_words(Time(self.peers.as_ref().map_or(0, |p| p.lease)) + self.longest_call(d))
+                ));
+            }
             line(format!(
                 "dependency {}: {} {}, budget {}, {} to {} calls here of {} in all, {} may wait, extra calls at most \
                  {} of first ones, {hedge}",
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -71,6 +71,23 @@
     pub per_second: f64,
 }
 
+/// The other instances of the fleet, and this one among them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Peers {
+    pub at: Place,
+    pub name: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    /// Those who keep the registry, by name.
+    pub keepers: Vec<(String, SocketAddr)>,
+    /// Where it keeps what outlives it. A keeper needs it.
+    pub data: Option<String>,
+    /// How long a share may be used after it was asked for.
+    pub lease: i64,
+    /// The longest for which a process may be stopped and still go on.
+    pub longest_stop: i64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dependency {
     pub at: Place,
@@ -119,6 +136,7 @@
 pub struct Operator {
     pub file: String,
     pub serve: Option<Serve>,
+    pub peers: Option<Peers>,
     /// Instances that may run at one time.
     pub instances: Option<u64>,
     /// Megabytes for kept answers.
@@ -133,8 +151,12 @@
     pub off: Vec<String>,
 }
 
-pub const DEFENCES: [&str; 8] =
-    ["budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback", "restart"];
+pub const DEFENCES: [&str; 12] = [
+    "budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback", "restart", "lease", "fence",
+    "linger", "need",
+];
+/// Keepers of a registry: a majority of them must be there.
+const KEEPERS: [usize; 3] = [1, 3, 5];
 
 fn address(args: &mut Args, name: &'static str) -> Result<SocketAddr, Wrong> {
     const WHAT: &str = "an IP address with a port such as \"127.0.0.1:8080\"";
@@ -156,6 +178,43 @@
     args.finish().map(|()| serve)
 }
 
+fn peers(mut args: Args) -> Result<Peers, Wrong> {
+    const KEPT: &str = "1, 3 or 5 names with an address each such as {\"a\": \"10.0.0.1:7100\"}";
+    let fits =
+        |name: &str| !name.is_empty() && name.len() <= 64 && name.chars().all(|c| c.is_ascii_graphic());
+    let keepers = args.read("keepers", KEPT, None, |value| {
+        let read = |(name, addr): (&String, &Json)| {
+            Some((name.clone(), addr.as_str()?.parse().ok()?)).filter(|(name, _)| fits(name))
+        };
+        let all: Option<Vec<(String, SocketAddr)>> = value.as_object()?.iter().map(read).collect();
+        all.filter(|all| KEEPERS.contains(&all.len()))
+    })?;
+    let what = "None or the path of a folder";
+    let data = args
+        .read("data", what, Some(None), |v| v.as_str().filter(|t| !t.is_empty()).map(|t| Some(t.into())))?;
+    let name = args.name("name", None)?;
+    if data.is_none() && keepers.iter().any(|(keeper, _)| *keeper == name) {
+        let what =
+            "data is missing: expected a folder that outlives the process, since this instance is a keeper";
+        return Err(args.wrong(what));
+    }
+    let peers = Peers {
+        name,
+        zone: args.name("zone", Some("here"))?,
+        listen: address(&mut args, "listen")?,
+        keepers,
+        data,
+        lease: args.duration("lease", Some(Time(3_000 * MS)))?.0,
+        longest_stop: args.duration("longest_stop", Some(Time(60_000 * MS)))?.0,
+        at: args.at.clone(),
+    };
+    if !(500 * MS..=600_000 * MS).contains(&peers.lease) {
+        let given = Json::from(in_words(Time(peers.lease)));
+        return Err(args.expected("lease", &given, "a time from \"500ms\" to \"10m\""));
+    }
+    args.finish().map(|()| peers)
+}
+
 fn handler(mut args: Args) -> Result<Handler, Wrong> {
     let name = args.name("name", None)?;
     let kinds = ["replayable", "uniqued", "non-replayable"];
@@ -310,10 +369,14 @@
         match function.as_str() {
             "serve" if all.serve.is_some() => return Err(args.wrong("declared twice: expected once")),
             "serve" => all.serve = Some(serve(args)?),
+            "peers" if all.peers.is_some() => return Err(args.wrong("declared twice: expected once")),
+            "peers" => all.peers = Some(peers(args)?),
             "fleet" if fleet => return Err(args.wrong("declared twice: expected once")),
             "fleet" => {
                 (fleet, all.fleet) = (true, args.at.clone());
-                all.instances = Some(args.whole("instances", 1, 100_000, None)?);
+                let what = "a whole number from 1 to 100000";
+                let read = |value: &Json| value.as_u64().filter(|n| (1..=100_000).contains(n)).map(Some);
+                all.instances = args.read("instances", what, Some(None), read)?;
                 all.kept_mb = args.number("kept_mb", 0.0, 65_536.0, Some(4.0))?;
                 args.finish()?;
             }
--- a/crates/registry/src/sqlite.rs
+++ b/crates/registry/src/sqlite.rs
@@ -66,13 +66,21 @@
         Ok(saved)
     }
 
-    /// On disk when it returns; after an error nothing is known, and the keeper must not go on.
-    pub fn write(&mut self, write: &Write) -> Result<(), String> {
-        self.carry_out(write).map_err(text)
+    /// All of them, in their order, are on disk when it returns; after an error nothing is known, and the keeper must
+    /// not go on.
+    pub fn write(&mut self, writes: &[Write]) -> Result<(), String> {
+        self.carry_out(writes).map_err(text)
     }
 
-    fn carry_out(&mut self, write: &Write) -> rusqlite::Result<()> {
+    fn carry_out(&mut self, writes: &[Write]) -> rusqlite::Result<()> {
         let step = self.0.transaction_with_behavior(rusqlite::TransactionBehavior::Immediate)?;
+        for write in writes {
+            Self::put(&step, write)?;
+        }
+        step.commit()
+    }
+
+    fn put(step: &rusqlite::Transaction<'_>, write: &Write) -> rusqlite::Result<()> {
         let put = "INSERT OR REPLACE INTO one VALUES (?1, ?2, ?3)";
         if let Some(hard) = &write.hard {
             step.execute(put, params!["hard", 0, hard])?;
@@ -91,6 +99,6 @@
         for (index, bytes) in &write.entries {
             step.execute("INSERT INTO entry VALUES (?1, ?2)", params![*index as i64, bytes])?;
         }
-        step.commit()
+        Ok(())
     }
 }
--- a/crates/script/src/lib.rs
+++ b/crates/script/src/lib.rs
@@ -99,6 +99,13 @@
         declare("fleet", eval, args, named).map(|_| NoneType)
     }
 
+    fn peers<'v>(
+        #[starlark(args)] args: UnpackTuple<Value<'v>>,
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>, eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        declare("peers", eval, args, named).map(|_| NoneType)
+    }
+
     fn handler<'v>(
         #[starlark(args)] args: UnpackTuple<Value<'v>>,
         #[starlark(kwargs)] named: SmallMap<String, Value<'v>>, eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -23,7 +23,7 @@
 fn room(connections: usize, memory: usize, operator: &Operator) -> Result<usize, Wrong> {
     let wrong = |at: &Place, what: String| Err(Wrong::from(format!("{}:{}: {what}", at.file, at.line)));
     let most = memory as f64 / (1 << 20) as f64 * KEPT;
-    if operator.instances.is_some() && operator.kept_mb > most {
+    if operator.fleet.line > 0 && operator.kept_mb > most {
         let what = format!(
             "fleet: kept_mb = {}: expected at most a quarter of the memory, {most}",
             operator.kept_mb
@@ -247,6 +247,7 @@
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
             ("settings", new.settings != self.settings),
+            ("front", new.callers_heard != self.callers_heard),
         ];
         let in_vain: Vec<_> =
             told.into_iter().filter(|(_, differs)| *differs).map(|(what, _)| what).collect();
@@ -259,6 +260,13 @@
             }
             operator.check(&self.known()).map_err(|wrong| wrong.to_string())?;
         }
+        // Shares that are lent can't be told apart from fixed ones while calls of either are in hand.
+        let peers =
+            |config: &Config| config.operator.as_ref().is_some_and(|operator| operator.peers.is_some());
+        if peers(self) != peers(&new) {
+            let file = new.operator.as_ref().map_or("the configuration", |operator| &operator.file);
+            return Err(format!("{file}: peers(...) cannot be added or taken out while the server runs"));
+        }
         let Config { engine, control, records, operator, stop, connections, memory, .. } = new;
         let new = Config { engine, control, records, operator, stop, connections, memory, ..self.clone() };
         Ok((new, in_vain))
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::cpu;
 use crate::drain::{self, Stage};
+use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::input::{ConnId, Input, Lines};
 use crate::keys::{Key, Keys, Outcome};
@@ -87,6 +88,7 @@
     next_id: u32,
     outlets: Outlets,
     works: Works,
+    fleet: Option<Rc<Fleet>>,
     room: Rc<Room>,
     keys: Keys,
     health: Health,
@@ -113,7 +115,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         config: Rc<Config>, decider: Decider, clock: Clock, executor: Rc<LocalExecutor<'static>>,
-        inputs: Sender<Input>, room: Rc<Room>, lines: Lines,
+        inputs: Sender<Input>, room: Rc<Room>, lines: Lines, fleet: Option<Rc<Fleet>>,
     ) -> Self {
         let now = clock.now();
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
@@ -122,8 +124,9 @@
             .records
             .map(|records| work::engine::Runs::new(now, records, busy, executor.clone(), inputs.clone()));
         let pages = config.operator.as_ref().map(|operator| {
-            let (plan, by_handler) = operator.plan(&config.known());
-            work::pages::Runs::new(now, plan, by_handler, config.seed, executor, inputs)
+            let plan = operator.plan(&config.known());
+            let values = config.places.handlers.iter().map(|name| operator.value(name)).collect();
+            work::pages::Runs::new(clock, plan, (config.seed, values), fleet.clone(), executor, inputs)
         });
         let works = Works::new(engine, pages, classes, config.kinds.clone());
         Desk {
@@ -136,6 +139,7 @@
             next_id: 0,
             outlets: Outlets::default(),
             works,
+            fleet,
             room,
             keys: Keys::default(),
             health: Health::default(),
@@ -317,7 +321,7 @@
                 self.notice = Some(now);
                 let results = self.decider.leaving(now, self.left());
                 self.carry_all(now, results);
-                self.works.leaving(now + self.left().times(PAGES_PART));
+                self.works.leaving(now, now + self.left().times(PAGES_PART));
                 self.outlets.no_more(now);
             }
         }
@@ -357,6 +361,14 @@
             "the configuration was read anew"
         );
         self.config = Rc::new(config);
+        if let (Some(fleet), Some(operator)) = (&self.fleet, &self.config.operator) {
+            if operator.peers.as_ref().is_some_and(|peers| fleet.differs(peers)) {
+                tracing::warn!(
+                    "of peers only keepers can change while the server runs; what was in force stays"
+                );
+            }
+            fleet.renew(now, operator);
+        }
         if let (Some(pages), Some(operator)) = (&mut self.works.pages, &self.config.operator) {
             let (plan, by_handler) = operator.plan(&self.config.known());
             for event in pages.install(now, plan, by_handler) {
--- a/crates/server/src/fetch.rs
+++ b/crates/server/src/fetch.rs
@@ -1,6 +1,6 @@
 //! Calls to the dependencies of pages: what is asked, and what a reply says of the dependency.
 use crate::client::{self, CallError, Pool};
-use crate::time::ms;
+use crate::time::{ms, Clock};
 use crate::wire::{http, WireId};
 use cottondyke_decide::types::Time;
 use cottondyke_depend::{Dependency, Outcome};
@@ -9,7 +9,7 @@
 
 /// Asks `to`. Dropping the future closes its connection. Nothing here limits its time: who waits does.
 pub async fn fetch(
-    pool: Rc<Pool>, to: Rc<Dependency>, of: WireId, body: Rc<[u8]>, within: Time, reuse: bool,
+    pool: Rc<Pool>, clock: Clock, to: Rc<Dependency>, of: WireId, body: Rc<[u8]>, within: Time, reuse: bool,
 ) -> Outcome {
     let mut bytes = Vec::with_capacity(256 + body.len());
     let left = (ms(within).floor() as u64).to_string();
@@ -21,6 +21,11 @@
         None => (false, client::connect(to.addr).await),
     };
     let Ok(mut stream) = connected else { return Outcome::Refused };
+    // The last look at a share that is lent, in the same step as the first byte: connecting may have taken long, and
+    // so may a stop of the whole process.
+    if to.lent.as_ref().is_some_and(|lent| !lent.lasts(clock.now())) {
+        return Outcome::NoShare;
+    }
     let (sending, heard) = (Cell::new(false), Cell::new(false));
     let (reply, again) = match client::exchange(&mut stream, &bytes, &sending, &heard).await {
         Ok(got) => got,
--- /dev/null
+++ b/crates/server/src/fleet/mod.rs
@@ -0,0 +1,258 @@
+//! This instance among others, on sockets and a disk. What is decided is in `cottondyke_fleet`; here its effects
+//! become words on links and writes, and its shares reach the gates. Without `peers(...)` nothing of it exists.
+mod disk;
+mod links;
+pub mod look;
+
+use crate::time::Clock;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use cottondyke_budget::{Defences, Holder, Terms, Usage};
+use cottondyke_decide::types::Time;
+use cottondyke_depend::{Lent, Plan, Use};
+use cottondyke_fleet::{Change, Effect, Instance, Setup};
+use cottondyke_operator::{budget_of, Operator, Peers};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::{Rc, Weak};
+
+/// How often the use of budgets is looked at.
+pub const LOOK: Time = Time(200);
+/// What is left of a need that is over after each look: half of it in a third of a second.
+const FADES: f64 = 0.96;
+/// What each start adds of its value to the worth of a unit.
+const LEARNS: f64 = 0.05;
+
+/// What one budget is worth here, and how much of it was needed lately.
+#[derive(Debug, Default)]
+struct Learnt {
+    need: f64,
+    worth: f64,
+}
+
+pub struct Fleet {
+    instance: RefCell<Instance>,
+    lent: RefCell<BTreeMap<String, Rc<Lent>>>,
+    learnt: RefCell<BTreeMap<String, Learnt>>,
+    clock: Clock,
+    links: links::Links,
+    disk: Option<disk::Writer>,
+    executor: Rc<LocalExecutor<'static>>,
+    own: Peers,
+    this: Weak<Fleet>,
+}
+
+/// What is started with the program: the fleet, and the tasks that it needs.
+pub struct Started {
+    pub fleet: Rc<Fleet>,
+    listener: Async<TcpListener>,
+    stored: Option<async_channel::Receiver<Result<u64, String>>>,
+    /// Keeps other processes out of the folder.
+    _home: Option<disk::Home>,
+}
+
+fn wholes(operator: &Operator) -> Vec<(String, u32, Time)> {
+    operator.wholes()
+}
+
+/// Opens the folder and the port. An error says in one line what is wrong.
+pub fn start(
+    operator: &Operator, peers: &Peers, clock: Clock, executor: Rc<LocalExecutor<'static>>, seed: u64,
+) -> Result<Started, String> {
+    let at = |what: String| format!("{}:{}: peers: {what}", peers.at.file, peers.at.line);
+    let listener = Async::<TcpListener>::bind(peers.listen)
+        .map_err(|e| at(format!("listen = {:?}: cannot listen there: {e}", peers.listen.to_string())))?;
+    let home = peers.data.as_ref().map(|folder| disk::Home::open(folder)).transpose().map_err(at)?;
+    let keeps = peers.keepers.iter().any(|(name, _)| *name == peers.name);
+    let opened = home.as_ref().filter(|_| keeps).map(disk::Home::registry).transpose().map_err(at)?;
+    let (writer, saved, stored) = match opened {
+        Some((db, saved)) => {
+            let (writer, stored) = disk::Writer::start(db).map_err(|e| at(e.to_string()))?;
+            (Some(writer), Some(saved), Some(stored))
+        }
+        None => (None, None, None),
+    };
+    let (life, former) = home.as_ref().map_or_else(|| (disk::fresh(), None), |home| (home.life, home.former));
+    let terms = Terms {
+        lease: Time(peers.lease),
+        slip: Time(peers.longest_stop),
+        defences: Defences {
+            lease: operator.keeps("lease"),
+            fence: operator.keeps("fence"),
+            linger: operator.keeps("linger"),
+            need: operator.keeps("need"),
+        },
+    };
+    let setup = Setup {
+        me: Holder { name: peers.name.clone(), life },
+        former,
+        keepers: peers.keepers.iter().cloned().collect(),
+        wholes: wholes(operator),
+        terms,
+        seed: seed ^ life,
+    };
+    let instance = Instance::new(setup, saved.as_ref()).map_err(at)?;
+    let fleet = Rc::new_cyclic(|this| Fleet {
+        this: this.clone(),
+        instance: RefCell::new(instance),
+        lent: RefCell::default(),
+        learnt: RefCell::default(),
+        clock,
+        links: links::Links::default(),
+        disk: writer,
+        executor,
+        own: peers.clone(),
+    });
+    tracing::info!(name = peers.name, life, listen = %listener.get_ref().local_addr().unwrap_or(peers.listen), "among peers");
+    Ok(Started { fleet, listener, stored, _home: home })
+}
+
+impl Started {
+    /// Serves the links, the disk and the instance's own timers; does not end.
+    pub async fn run(self) {
+        let Started { fleet, listener, stored, _home } = self;
+        let accepting = fleet.executor.spawn(links::accept(fleet.clone(), listener));
+        let storing = stored.map(|stored| fleet.executor.spawn(fleet.clone().store(stored)));
+        loop {
+            let now = fleet.clock.now();
+            fleet.with(|instance| instance.timer(now));
+            let next = fleet.instance.borrow().next().min(now + LOOK).max(now + Time(1));
+            Timer::at(fleet.clock.instant(next)).await;
+            // A task that ended by a panic must not be missed.
+            if accepting.is_finished() || storing.as_ref().is_some_and(async_executor::Task::is_finished) {
+                break;
+            }
+        }
+        accepting.await;
+        if let Some(storing) = storing {
+            storing.await;
+        }
+    }
+}
+
+impl Fleet {
+    /// The share of each dependency goes into the plan.
+    pub fn lend(&self, plan: &mut Plan) {
+        let now = self.clock.now();
+        for spec in &mut plan.dependencies {
+            let lent = self.lent.borrow_mut().entry(spec.name.to_string()).or_default().clone();
+            if let Some(spec) = Rc::get_mut(spec) {
+                spec.lent = Some(lent);
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// A run of this value starts that may ask a dependency.
+    pub fn starts(&self, dependency: &str, value: f64) {
+        let mut learnt = self.learnt.borrow_mut();
+        if let Some(one) = learnt.get_mut(dependency) {
+            one.worth += (value - one.worth) * LEARNS;
+        } else {
+            learnt.insert(dependency.to_string(), Learnt { need: 0.0, worth: value });
+        }
+    }
+
+    /// What is in use at this moment.
+    pub fn used(&self, now: Time, uses: &[Use]) {
+        {
+            let mut learnt = self.learnt.borrow_mut();
+            let mut instance = self.instance.borrow_mut();
+            for one in uses {
+                let name = one.dependency.to_string();
+                let known = learnt.entry(name.clone()).or_default();
+                known.need = (known.need * FADES).max(one.need as f64);
+                let usage = Usage {
+                    held: one.held as u32,
+                    need: known.need.round() as u32,
+                    weight: known.worth.max(f64::MIN_POSITIVE),
+                };
+                instance.used(&budget_of(&name), usage);
+            }
+        }
+        self.with(|instance| instance.timer(now));
+    }
+
+    pub fn leave(&self, now: Time) {
+        self.with(|instance| instance.leave(now));
+    }
+
+    pub fn renew(&self, now: Time, operator: &Operator) {
+        let Some(peers) = &operator.peers else { return };
+        let keepers = peers.keepers.iter().cloned().collect();
+        self.links.keep(peers.keepers.iter().map(|(_, addr)| *addr));
+        self.with(|instance| instance.renew(now, keepers, wholes(operator)));
+    }
+
+    /// What of the file's `peers` cannot change while the program runs.
+    pub fn differs(&self, new: &Peers) -> bool {
+        let fixed =
+            |p: &Peers| (p.name.clone(), p.zone.clone(), p.listen, p.data.clone(), p.lease, p.longest_stop);
+        fixed(&self.own) != fixed(new)
+    }
+
+    /// For the tasks of its links.
+    fn this(&self) -> Option<Rc<Fleet>> {
+        self.this.upgrade()
+    }
+
+    fn heard(&self, from: SocketAddr, word: &[u8]) {
+        let now = self.clock.now();
+        self.with(|instance| instance.heard(now, from, word));
+    }
+
+    async fn store(self: Rc<Self>, stored: async_channel::Receiver<Result<u64, String>>) {
+        while let Ok(result) = stored.recv().await {
+            let now = self.clock.now();
+            match result {
+                Ok(number) => self.with(|instance| instance.stored(now, number)),
+                Err(wrong) => {
+                    tracing::error!(wrong, "the registry's disk failed; this keeper takes part no longer");
+                    self.with(|instance| instance.store_failed(now));
+                }
+            }
+        }
+    }
+
+    /// One input to the instance, its effects carried out in their order, and what it may use now.
+    fn with(&self, input: impl FnOnce(&mut Instance) -> Vec<Effect>) {
+        let effects = input(&mut self.instance.borrow_mut());
+        for effect in effects {
+            match effect {
+                Effect::Send { to, bytes } => self.links.send(self, to, &bytes),
+                Effect::Store(write) => {
+                    if let Some(disk) = &self.disk {
+                        disk.write(write);
+                    }
+                }
+                Effect::Tell(change) => told(&change),
+            }
+        }
+        self.refresh(self.clock.now());
+    }
+
+    fn refresh(&self, now: Time) {
+        let instance = self.instance.borrow();
+        for (name, lent) in self.lent.borrow().iter() {
+            lent.set(instance.ceiling(now, &budget_of(name)) as usize, instance.until());
+        }
+    }
+}
+
+/// One line in the log for each change.
+fn told(change: &Change) {
+    match change {
+        Change::Share { budget, before, now, epoch } => {
+            tracing::debug!(budget, before, now, epoch = epoch.0, "its share changed");
+        }
+        Change::Lease(true) => tracing::info!("the lease of its shares is in force"),
+        Change::Lease(false) => {
+            tracing::warn!("the lease of its shares is over: it uses nothing of the fleet's budgets")
+        }
+        Change::Leads(true) => tracing::info!("leads the registry"),
+        Change::Leads(false) => tracing::info!("leads the registry no longer"),
+        Change::Founded(keepers) => tracing::info!(keepers, "the registry is founded"),
+        Change::KeeperBroken => tracing::error!("its keeper is broken and takes part no longer"),
+    }
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod desk;
 pub mod drain;
 pub mod fetch;
+pub mod fleet;
 pub mod health;
 pub mod input;
 pub mod intake;
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,6 +1,6 @@
 //! The program: `serve`, `check`, `version`.
 use cottondyke::sources::Sources;
-use cottondyke::{config::Config, serve};
+use cottondyke::{config::Config, fleet, serve};
 use lexopt::prelude::*;
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
@@ -13,11 +13,13 @@
 commands:
   serve      serve until SIGTERM
   check      read both files, say what is wrong with them, or what is in force
+  peers ADDR ask the instance whose peers port this is what it knows of members and budgets
   version    print the version
 
 options:
   --config FILE    the platform's configuration (default: the file that GW_CONFIG names)
   --operator FILE  the operator's script; with it alone the program serves on its own
+  --json           what peers prints, as JSON
   --log LEVEL      error, warn, info (default), debug or trace, on standard error
 
 SIGHUP reads both files anew; SIGTERM is the notice to leave
@@ -25,12 +27,20 @@
 
 struct Usage {
     command: String,
+    addr: Option<String>,
+    json: bool,
     sources: Sources,
     log: LevelFilter,
 }
 
 fn usage() -> Result<Usage, lexopt::Error> {
-    let mut usage = Usage { command: String::new(), sources: Sources::default(), log: LevelFilter::INFO };
+    let mut usage = Usage {
+        command: String::new(),
+        addr: None,
+        json: false,
+        sources: Sources::default(),
+        log: LevelFilter::INFO,
+    };
     let mut words = lexopt::Parser::from_env();
     while let Some(word) = words.next()? {
         match word {
@@ -39,7 +49,11 @@
             Long("log") => usage.log = words.value()?.parse()?,
             Long("help") | Short('h') => usage.command = "help".to_string(),
             Long("version") | Short('V') => usage.command = "version".to_string(),
+            Long("json") => usage.json = true,
             Value(command) if usage.command.is_empty() => usage.command = command.string()?,
+            Value(addr) if usage.command == "peers" && usage.addr.is_none() => {
+                usage.addr = Some(addr.string()?)
+            }
             other => return Err(other.unexpected()),
         }
     }
@@ -83,6 +97,19 @@
                 return fail(&wrong, 1);
             }
         }
+        "peers" => {
+            let addr = usage.addr.unwrap_or_default();
+            let Ok(addr) = addr.parse() else {
+                let what =
+                    format!("peers {addr:?}: expected an IP address with a port such as 127.0.0.1:7100");
+                return fail(&what, 2);
+            };
+            match fleet::look::look(addr) {
+                Ok(view) if usage.json => println!("{}", serde_json::json!(view)),
+                Ok(view) => print!("{}", fleet::look::shown(&view)),
+                Err(wrong) => return fail(&wrong, 1),
+            }
+        }
         other => return fail(&format!("unknown command {other:?}; see cottondyke --help"), 2),
     }
     ExitCode::SUCCESS
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::sources::Sources;
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
-use crate::{accept, drain, report, run};
+use crate::{accept, drain, fleet, report, run};
 use async_executor::{LocalExecutor, Task};
 use futures_lite::FutureExt;
 use std::panic::AssertUnwindSafe;
@@ -44,14 +44,21 @@
     let running = config.engine.map(|engine| executor.spawn(run::keep(engine, moves, desk_of)));
     let reporting = config.control.map(|control| executor.spawn(report::keep(control, name, changes)));
     let watching = executor.spawn(drain::watch(signals, sources, to_desk.clone()));
-    let desk =
-        Desk::new(config, decider, clock, executor.clone(), to_desk, room, Lines { news, engine, close });
+    let among = config.operator.as_ref().and_then(|operator| Some((operator, operator.peers.as_ref()?)));
+    let among = among
+        .map(|(operator, peers)| fleet::start(operator, peers, clock, executor.clone(), config.seed))
+        .transpose()?;
+    let fleet = among.as_ref().map(|started| started.fleet.clone());
+    let among = among.map(|started| executor.spawn(started.run()));
+    let lines = Lines { news, engine, close };
+    let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, room, lines, fleet);
     // Without any of these the server would be half alive: a panic in one ends it, with a word why.
     let all = desk
         .run(inputs)
         .or(kept(Some(accepting)))
         .or(kept(running))
         .or(kept(reporting))
+        .or(kept(among))
         .or(kept(Some(watching)));
     async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
         .map_err(|_| "a part of the server panicked; it cannot go on".to_string())
--- a/crates/server/src/wire/mod.rs
+++ b/crates/server/src/wire/mod.rs
@@ -2,6 +2,7 @@
 //! decoded once into a small typed value and encoded once; the protocols' names end here.
 pub mod engine;
 pub mod http;
+pub mod peers;
 pub mod sidecar;
 
 /// Bytes that came and are not yet decoded. They take only as much room as has come, whatever length a
--- a/crates/server/src/work/mod.rs
+++ b/crates/server/src/work/mod.rs
@@ -125,9 +125,9 @@
     }
 
     /// All is to be answered by `until`.
-    pub fn leaving(&mut self, until: Time) {
+    pub fn leaving(&mut self, now: Time, until: Time) {
         if let Some(pages) = &mut self.pages {
-            pages.leaving(until);
+            pages.leaving(now, until);
         }
     }
 
--- a/crates/server/src/work/pages.rs
+++ b/crates/server/src/work/pages.rs
@@ -3,7 +3,9 @@
 use super::{Event, Job, Output};
 use crate::client::Pool;
 use crate::fetch::fetch;
+use crate::fleet::{self, Fleet};
 use crate::input::Input;
+use crate::time::Clock;
 use crate::wire::WireId;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
@@ -23,6 +25,13 @@
     /// Calls that nobody waits for, listened to until then.
     listening: BTreeSet<(Time, CallId)>,
     pool: Rc<Pool>,
+    clock: Clock,
+    /// Where shares of dependencies are lent.
+    fleet: Option<Rc<Fleet>>,
+    /// The value of each handler's reqs.
+    values: Vec<f64>,
+    /// When use is to be looked at next.
+    look: Time,
     executor: Rc<LocalExecutor<'static>>,
     inputs: Sender<Input>,
 }
@@ -30,10 +39,18 @@
 impl Runs {
     /// `by_handler`: the place in the plan of each handler's page.
     pub fn new(
-        now: Time, plan: Plan, by_handler: Vec<Option<usize>>, seed: u64,
-        executor: Rc<LocalExecutor<'static>>, inputs: Sender<Input>,
+        clock: Clock, (mut plan, by_handler): (Plan, Vec<Option<usize>>), (seed, values): (u64, Vec<f64>),
+        fleet: Option<Rc<Fleet>>, executor: Rc<LocalExecutor<'static>>, inputs: Sender<Input>,
     ) -> Self {
+        let now = clock.now();
+        if let Some(fleet) = &fleet {
+            fleet.lend(&mut plan);
+        }
         Runs {
+            clock,
+            fleet,
+            values,
+            look: now,
             pages: Pages::new(now, plan, seed, true),
             by_handler,
             wires: BTreeMap::new(),
@@ -46,7 +63,10 @@
     }
 
     /// Another file is in force for what starts from now on.
-    pub fn install(&mut self, now: Time, plan: Plan, by_handler: Vec<Option<usize>>) -> Vec<Event> {
+    pub fn install(&mut self, now: Time, mut plan: Plan, by_handler: Vec<Option<usize>>) -> Vec<Event> {
+        if let Some(fleet) = &self.fleet {
+            fleet.lend(&mut plan);
+        }
         self.by_handler = by_handler;
         let actions = self.pages.install(now, plan);
         self.carry(now, actions)
@@ -61,6 +81,10 @@
             return vec![Event::Ended(id, RunEnd::Errored, Output::default())];
         };
         self.wires.insert(id, job.wire);
+        if let Some(fleet) = &self.fleet {
+            let value = self.values.get(job.handler.0).copied().unwrap_or(1.0);
+            self.pages.dependencies(page).for_each(|name| fleet.starts(name, value));
+        }
         let start = Start {
             run: id,
             page,
@@ -86,18 +110,28 @@
         }
     }
 
-    pub fn leaving(&mut self, until: Time) {
+    pub fn leaving(&mut self, now: Time, until: Time) {
         self.pages.leaving(until);
+        if let Some(fleet) = &self.fleet {
+            fleet.leave(now);
+        }
     }
 
     pub fn next(&self) -> Option<Time> {
         let listening = self.listening.first().map(|(at, _)| *at);
-        [self.pages.next(), listening].into_iter().flatten().min()
+        let look = self.fleet.as_ref().map(|_| self.look);
+        [self.pages.next(), listening, look].into_iter().flatten().min()
     }
 
     pub fn timer(&mut self, now: Time) -> Vec<Event> {
         let actions = self.pages.timer(now);
         let mut events = self.carry(now, actions);
+        if let Some(fleet) = self.fleet.clone().filter(|_| self.look <= now) {
+            self.look = now + fleet::LOOK;
+            let (actions, uses) = self.pages.look(now);
+            events.extend(self.carry(now, actions));
+            fleet.used(now, &uses);
+        }
         while let Some((_, call)) = self.listening.first().copied().filter(|(at, _)| *at <= now) {
             self.listening.pop_first();
             // Dropping the task closes the connection.
@@ -145,9 +179,9 @@
             match action {
                 Action::Call { call, run, to, body, within, reuse } => {
                     let Some(wire) = self.wires.get(&run).copied() else { continue };
-                    let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
+                    let (pool, clock, inputs) = (self.pool.clone(), self.clock, self.inputs.clone());
                     let task = self.executor.spawn(async move {
-                        let outcome = fetch(pool, to, wire, body, within, reuse).await;
+                        let outcome = fetch(pool, clock, to, wire, body, within, reuse).await;
                         let _ = inputs.send(Input::Fetched(call, outcome)).await;
                     });
                     self.calls.insert(call, task);
