--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -18,6 +18,9 @@
 /// Part of a lease after which an asking without an answer goes to another keeper.
 const PATIENCE: f64 = 0.15;
 
+/// Keepers whose addresses are noted.
+const MOST_ROUTES: usize = 64;
+
 /// What the registry agrees on.
 #[derive(Debug, Default)]
 pub struct Agreed(pub Table);
@@ -149,6 +152,8 @@
     waits: Option<Time>,
     /// Addresses from which members last asked.
     from: BTreeMap<Holder, SocketAddr>,
+    /// Addresses from which keepers last spoke.
+    routes: BTreeMap<KeeperId, SocketAddr>,
     known: BTreeMap<String, u32>,
     live: bool,
     out: Vec<Effect>,
@@ -168,6 +173,7 @@
             asked: own.unwrap_or(setup.seed as usize % setup.keepers.len().max(1)),
             waits: None,
             from: BTreeMap::new(),
+            routes: BTreeMap::new(),
             known: BTreeMap::new(),
             live: false,
             out: Vec::new(),
@@ -223,7 +229,7 @@
             keeping.ticks += 1;
             let mut effects = keeping.keeper.tick();
             let names: Vec<String> = self.setup.keepers.keys().cloned().collect();
-            effects.extend(keeping.keeper.dismiss(&names));
+            effects.extend(keeping.keeper.tend(&names));
             if keeping.ticks.is_multiple_of(SNAPSHOT_TICKS) {
                 for to in keeping.keeper.sending_snapshot() {
                     keeping.keeper.snapshot_sent(to, true);
@@ -248,7 +254,10 @@
                 self.waits = None;
             }
             Some(Word::Elsewhere(leader)) => self.elsewhere(now, from, leader),
-            Some(Word::Raft(bytes)) => {
+            Some(Word::Raft(keeper, bytes)) => {
+                if self.routes.contains_key(&keeper) || self.routes.len() < MOST_ROUTES {
+                    self.routes.insert(keeper, from);
+                }
                 if let Some(keeping) = self.keeping.as_mut().filter(|k| k.begun) {
                     let effects = keeping.keeper.heard(&bytes);
                     self.carry(now, effects);
@@ -292,6 +301,11 @@
         self.table().map_or(Vec::new(), |table| self.granter.held_back(now, table))
     }
 
+    /// The budgets of the file in force.
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.setup.wholes.iter().map(|(name, ..)| name)
+    }
+
     /// For operators, as this instance sees it.
     pub fn view(&self, now: Time) -> View {
         let shown = |holder: &Holder| format!("{}.{}", holder.name, holder.life);
@@ -446,9 +460,12 @@
         for effect in effects {
             match effect {
                 registry::Effect::Send { to, bytes } => {
-                    let name = self.keeping.as_ref().and_then(|k| k.keeper.names().get(&to));
-                    if let Some(addr) = name.and_then(|name| self.setup.keepers.get(name)).copied() {
-                        self.say(addr, &Word::Raft(bytes));
+                    let Some(keeping) = &self.keeping else { continue };
+                    let known = keeping.keeper.names().get(&to).and_then(|name| self.setup.keepers.get(name));
+                    // One that joins knows no names yet: it answers where it was spoken to from.
+                    if let Some(addr) = known.or(self.routes.get(&to)).copied() {
+                        let word = Word::Raft(keeping.id, bytes);
+                        self.say(addr, &word);
                     }
                 }
                 registry::Effect::Store(write) => self.out.push(Effect::Store(write)),
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -16,7 +16,8 @@
     Reply(Reply),
     /// This keeper does not lead; who does, as far as it knows.
     Elsewhere(Option<String>),
-    Raft(Vec<u8>),
+    /// Between keepers, and whose it is.
+    Raft(KeeperId, Vec<u8>),
     Seek(Seek),
     /// The keepers that a registry was founded with.
     Found(BTreeMap<KeeperId, String>),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,4 +1,5 @@
 //! Nodes: the real program, each as a process with a script of its own.
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,6 +15,8 @@
     child: Child,
     script: PathBuf,
     pub addr: SocketAddr,
+    /// Where other instances reach it, where it is among any.
+    pub peers: Option<SocketAddr>,
 }
 
 /// The program lies beside this one.
@@ -50,6 +53,8 @@
         });
         let until = Instant::now() + PATIENCE;
         let mut last = String::new();
+        let among = script.contains("peers(");
+        let (mut serving, mut peers) = (None, None);
         let addr = loop {
             let left = until.saturating_duration_since(Instant::now());
             let line = log.recv_timeout(left).map_err(|_| {
@@ -58,11 +63,23 @@
                 io::Error::other(format!("a node does not serve: {last}"))
             })?;
             if let Some(addr) = line.split_once("listen=").and_then(|(_, addr)| addr.trim().parse().ok()) {
+                let of = if line.contains("among peers") { &mut peers } else { &mut serving };
+                *of = Some(addr);
+            }
+            if let Some(addr) = serving.filter(|_| peers.is_some() || !among) {
                 break addr;
             }
             last = line;
         };
-        Ok(Node { child, script: path, addr })
+        Ok(Node { child, script: path, addr, peers })
+    }
+
+    /// Stops the process where it is, or lets it go on.
+    pub fn stop(&self, stopped: bool) {
+        let signal = if stopped { Signal::STOP } else { Signal::CONT };
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
     }
 
     /// Core time used so far, in seconds.
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -24,6 +24,8 @@
     pub rate: f64,
     /// Different bodies among them: what is kept of one serves others of its kind.
     pub bodies: u64,
+    /// The first four digits of the reqs' ids.
+    pub tag: u64,
 }
 
 /// Callers on several connections to one node, which share the rate.
@@ -90,7 +92,7 @@
         }
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
         let body = format!("{:08}", random.u64(0..mix.bodies));
-        let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        let id = format!("{:04x}{:012x}", mix.tag, NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let at = unix_ms().to_string();
         let fields = [("class", mix.handler), ("id", &id), ("at", &at), ("from", "1"), ("kb", "4.0")];
         sent.push(Sent { due, size: body.len(), heard: Vec::new() });
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -21,6 +21,8 @@
   calm           one node and nothing wrong: what a page costs beside one without limits and breakers
   restarts       nodes that are killed and started again, and the ceiling of a dependency;
                  --without restart
+  budgets        8 instances that share a ceiling, links cut and stalled, processes stopped, killed and without their
+                 disk; --without lease, fence, linger or need
 
 worlds: K simulated worlds (default 100) of 5 to M members (default 100) from seed N on, the sum of units in
   use held against the whole after every step; --without lease, fence, linger or need
@@ -98,6 +100,7 @@
     };
     let played: std::io::Result<Outcome> = match name.as_str() {
         "worlds" => world::play(&usage),
+        "budgets" => trials::budgets::play(&usage),
         "dependencies" => trials::dependencies::play(&usage),
         "calm" => trials::calm::play(&usage),
         "restarts" => trials::restarts::play(&usage),
--- /dev/null
+++ b/crates/lab/src/trials/budgets.rs
@@ -0,0 +1,436 @@
+//! Eight instances in three zones that share one dependency's ceiling, while links are cut and stall and processes
+//! are stopped, killed and lose their disks; beside them the same fleet with fixed parts. Calls are counted at the
+//! dependency.
+use crate::fleet::Node;
+use crate::load::{Callers, Mix, Sent};
+use crate::outcome::Outcome;
+use crate::Usage;
+use cottondyke_standin::dependency::{Dependency, Fault, Shape};
+use cottondyke_standin::link::{Link, Way};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+const NODES: usize = 8;
+const KEEPERS: usize = 3;
+const ZONES: usize = 3;
+const CEILING: u64 = 24;
+const TARGET: Duration = Duration::from_millis(420);
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+const LINGER: Duration = Duration::from_millis(200);
+const LEASE: Duration = Duration::from_secs(2);
+/// Reqs a second of each fleet, of which two nodes get this part each, and each node's beside them.
+const RATE: f64 = 300.0;
+const HOT: f64 = 0.4;
+const PLAIN: f64 = 4.0;
+/// Reqs a second of each node where all are to use what they may.
+const FULL: f64 = 70.0;
+const CONNECTIONS: u64 = 2;
+const SEGMENT: Duration = Duration::from_millis(1_500);
+/// The phases, in seconds from when the load begins: calm, faults, a zone cut off, quiet, and full use at the end.
+const FAULTS: f64 = 6.0;
+const ZONE: f64 = 19.5;
+const QUIET: f64 = 25.5;
+const LAST: f64 = 31.0;
+const END: f64 = 33.0;
+const DEFENCES: [&str; 4] = ["lease", "fence", "linger", "need"];
+/// Who dials whom in a cut of one direction: words to the keepers are lost, or answers of theirs.
+const NAMES: [&str; 9] = ["n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"];
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Cut,
+    OneWay(bool),
+    Stall,
+    Stop,
+    Kill,
+    DiskLost,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    node: usize,
+    kind: Kind,
+    from: f64,
+    until: f64,
+}
+
+/// At least five, two and more at a time; at most one keeper is in trouble at a time.
+fn drawn(random: &mut fastrand::Rng) -> Vec<Trouble> {
+    let mut nodes: Vec<usize> = (KEEPERS..NODES).collect();
+    random.shuffle(&mut nodes);
+    let keeper = random.usize(0..KEEPERS);
+    nodes.truncate(4);
+    nodes.insert(random.usize(0..=nodes.len()), keeper);
+    let kind = |random: &mut fastrand::Rng| match random.u8(0..7) {
+        0 => Kind::Cut,
+        1 => Kind::OneWay(random.bool()),
+        2 => Kind::Stall,
+        3 | 4 => Kind::Stop,
+        5 => Kind::Kill,
+        _ => Kind::DiskLost,
+    };
+    let trouble = |(number, node): (usize, usize)| {
+        let from = FAULTS + number as f64 * 1.7 + random.f64();
+        let until = (from + 2.5 + random.f64() * 3.5).min(ZONE - 1.0);
+        Trouble { node, kind: kind(random), from, until }
+    };
+    nodes.into_iter().enumerate().map(trouble).collect()
+}
+
+struct Fleet {
+    lent: bool,
+    off: Vec<String>,
+    seed: u64,
+    nodes: Vec<Option<Node>>,
+    /// By who dials and who is dialled.
+    links: BTreeMap<(usize, usize), Link>,
+    folders: Vec<PathBuf>,
+    shared: Dependency,
+    local: Dependency,
+    /// When each node was away, from and until.
+    away: Vec<(usize, Instant, Instant)>,
+    verbose: bool,
+}
+
+impl Fleet {
+    fn start(lent: bool, off: &[&str], usage: &Usage) -> io::Result<Self> {
+        let shape = |place: u64, knee| Shape {
+            time: Duration::from_millis(60),
+            knee,
+            linger: LINGER,
+            seed: usage.seed.wrapping_mul(31).wrapping_add(place),
+        };
+        let base = std::env::temp_dir().join(format!("cottondyke-lab-{}-budgets", std::process::id()));
+        let mut fleet = Fleet {
+            lent,
+            off: off.iter().map(|name| name.to_string()).collect(),
+            seed: usage.seed,
+            nodes: Vec::new(),
+            links: BTreeMap::new(),
+            folders: NAMES.iter().map(|name| base.join(name)).collect(),
+            shared: Dependency::start(shape(0, CEILING))?,
+            local: Dependency::start(shape(1, 1_000))?,
+            away: Vec::new(),
+            verbose: usage.verbose,
+        };
+        if lent {
+            for (from, to) in (0..NAMES.len()).flat_map(|from| (0..KEEPERS).map(move |to| (from, to))) {
+                fleet.links.insert((from, to), Link::start()?);
+            }
+        }
+        for place in 0..NODES {
+            fleet.nodes.push(None);
+            fleet.begin(place)?;
+        }
+        Ok(fleet)
+    }
+
+    fn script(&self, place: usize) -> String {
+        let mut text = String::from("fleet(kept_mb = 1");
+        if self.lent {
+            let keepers =
+                (0..KEEPERS).map(|to| format!("\"{}\": \"{}\"", NAMES[to], self.links[&(place, to)].addr));
+            let keepers = keepers.collect::<Vec<_>>().join(", ");
+            let _ = write!(
+                text,
+                ")\npeers(name = \"{}\", zone = \"z{}\", listen = \"127.0.0.1:0\", keepers = {{{keepers}}}, data = {:?}, \
+                 lease = \"{}ms\", longest_stop = \"30s\")\n",
+                NAMES[place],
+                place % ZONES,
+                self.folders[place].display().to_string(),
+                LEASE.as_millis()
+            );
+        } else {
+            let _ = writeln!(text, ", instances = {NODES})");
+        }
+        let (target, timeout) = (TARGET.as_millis(), TIMEOUT.as_millis());
+        let _ = write!(
+            text,
+            "serve(listen = \"127.0.0.1:0\", at_once = 64, sockets = 1024, stop = \"2s\")\n\
+             browse = handler(\"browse\", effect = \"replayable\", response_target = \"{target}ms\", client_timeout = \"{timeout}ms\")\n\
+             plain = handler(\"plain\", effect = \"replayable\", response_target = \"{target}ms\", client_timeout = \"{timeout}ms\")\n\
+             dependency(\"shared\", addr = \"{}\", budget = \"400ms\", ceiling = {CEILING}, linger = \"{}ms\", replies = \"json\")\n\
+             dependency(\"local\", addr = \"{}\", budget = \"400ms\", ceiling = 24, ceiling_of = \"instance\", replies = \"json\")\n\
+             page(browse, parts = [part(\"shared\", required = True)])\n\
+             page(plain, parts = [part(\"local\", required = True)])\n",
+            self.shared.addr,
+            LINGER.as_millis(),
+            self.local.addr,
+        );
+        // What adapts to a dependency's state would blur what the budgets do.
+        let fixed = ["adapt", "breaker", "hedge"].map(String::from);
+        let off: Vec<&String> = fixed.iter().chain(self.off.iter().filter(|_| self.lent)).collect();
+        let _ = writeln!(text, "defences(off = {off:?})");
+        text
+    }
+
+    fn begin(&mut self, place: usize) -> io::Result<()> {
+        let node = Node::start(&self.script(place), self.verbose && self.lent)?;
+        if place < KEEPERS && self.lent {
+            self.links.iter().filter(|((_, to), _)| *to == place).for_each(|(_, link)| link.lead(node.peers));
+        }
+        self.nodes[place] = Some(node);
+        Ok(())
+    }
+
+    /// The links of a node to others, with whether it is the one who dials.
+    fn around(&self, place: usize) -> impl Iterator<Item = (bool, &Link)> {
+        let of = self.links.iter().filter(move |((from, to), _)| (*from == place) != (*to == place));
+        of.map(move |((from, _), link)| (*from == place, link))
+    }
+
+    fn trouble(&mut self, trouble: &Trouble, begins: bool) -> io::Result<()> {
+        let place = trouble.node;
+        let now = Instant::now();
+        match (trouble.kind, begins) {
+            (Kind::Cut, begins) => {
+                let way = if begins { Way::Cut } else { Way::Open };
+                self.around(place).for_each(|(_, link)| link.set(way, way));
+            }
+            (Kind::OneWay(out), begins) => {
+                // Words that it sends, or words that come to it.
+                for (dials, link) in self.around(place) {
+                    let (forth, back) =
+                        if dials == out { (Way::Cut, Way::Open) } else { (Way::Open, Way::Cut) };
+                    if begins {
+                        link.set(forth, back)
+                    } else {
+                        link.set(Way::Open, Way::Open)
+                    }
+                }
+            }
+            (Kind::Stall, begins) => {
+                let way = if begins { Way::Stalled } else { Way::Open };
+                self.around(place).for_each(|(_, link)| link.set(way, way));
+            }
+            (Kind::Stop, begins) => {
+                if let Some(node) = &self.nodes[place] {
+                    node.stop(begins);
+                }
+                self.mark(place, now, begins);
+            }
+            (Kind::Kill | Kind::DiskLost, true) => {
+                self.nodes[place] = None;
+                self.mark(place, now, true);
+                if trouble.kind == Kind::DiskLost && self.lent {
+                    let _ = std::fs::remove_dir_all(&self.folders[place]);
+                }
+            }
+            (Kind::Kill | Kind::DiskLost, false) => {
+                self.begin(place)?;
+                self.mark(place, Instant::now(), false);
+            }
+        }
+        Ok(())
+    }
+
+    fn mark(&mut self, place: usize, now: Instant, goes: bool) {
+        if goes {
+            self.away.push((place, now, now + Duration::from_secs(3_600)));
+        } else if let Some(last) = self.away.iter_mut().rev().find(|(of, ..)| *of == place) {
+            last.2 = now;
+        }
+    }
+
+    /// Whether the node was there from before a req was due until it had to be answered.
+    fn there(&self, place: usize, due: Instant) -> bool {
+        let end = due + TIMEOUT;
+        !self
+            .away
+            .iter()
+            .any(|(of, from, until)| *of == place && due < *until + Duration::from_millis(50) && end > *from)
+    }
+
+    fn call(
+        &self, place: usize, handler: &'static str, rate: f64, span: (Instant, Instant), seed: u64,
+    ) -> Option<Callers> {
+        let node = self.nodes[place].as_ref()?;
+        let mix = Mix { handler, rate, bodies: 200, tag: place as u64 };
+        let connections = if rate > 20.0 { CONNECTIONS } else { 1 };
+        Some(Callers::start(node.addr, &mix, connections, seed ^ place as u64, span, TIMEOUT))
+    }
+
+    /// Calls held at the shared dependency by some nodes, in seconds since it began.
+    fn held_s(&self, of: impl Fn(usize) -> bool) -> f64 {
+        let counts = self.shared.counts();
+        let tag = |tag: &str| usize::from_str_radix(tag, 16).unwrap_or(usize::MAX);
+        counts.held_s.iter().filter(|(t, _)| of(tag(t))).map(|(_, seconds)| seconds).sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        if self.lent {
+            for folder in &self.folders {
+                let _ = std::fs::remove_dir_all(folder);
+            }
+            let _ = self.folders[0].parent().map(std::fs::remove_dir);
+        }
+    }
+}
+
+/// What was sent to one node of one fleet in one segment.
+struct Batch {
+    fleet: usize,
+    place: usize,
+    handler: &'static str,
+    callers: Callers,
+}
+
+fn value(sent: &Sent) -> f64 {
+    match sent.heard.first() {
+        Some((at, heard)) if heard.code == 1 => {
+            let took = at.saturating_duration_since(sent.due);
+            if took <= TARGET {
+                1.0
+            } else {
+                0.2
+            }
+        }
+        _ => 0.0,
+    }
+}
+
+pub fn play(usage: &Usage) -> io::Result<Outcome> {
+    let off = usage.off(&DEFENCES)?;
+    let mut random = fastrand::Rng::with_seed(usage.seed);
+    let troubles = drawn(&mut random);
+    let mut fleets = [Fleet::start(true, &off, usage)?, Fleet::start(false, &off, usage)?];
+    // The registry is founded, and grants nothing for a lease and the longest call.
+    std::thread::sleep(LEASE + LINGER + Duration::from_millis(2_500));
+    let start = Instant::now();
+    let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
+    let mut batches: Vec<Batch> = Vec::new();
+    let mut events: Vec<(f64, usize, bool)> = Vec::new();
+    for (number, trouble) in troubles.iter().enumerate() {
+        events.push((trouble.from, number, true));
+        events.push((trouble.until, number, false));
+    }
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut events = events.into_iter().peekable();
+    let (mut segment, mut hot) = (start, [0, 1]);
+    let (mut cut, mut cut_from, mut side) = (0, 0.0, 0.0);
+    let (mut last_from, mut last) = (None, 0.0);
+    while Instant::now() < at(END) {
+        let now = Instant::now();
+        while let Some((_, number, begins)) = events.next_if(|(due, ..)| now >= at(*due)) {
+            for fleet in &mut fleets {
+                fleet.trouble(&troubles[number], begins)?;
+            }
+        }
+        if now >= segment && segment < at(END) {
+            let span = (now, (segment + SEGMENT).min(at(END)));
+            let seconds = now.saturating_duration_since(start).as_secs_f64();
+            let full = seconds >= ZONE - 0.1;
+            hot = [random.usize(0..NODES), random.usize(0..NODES)];
+            let seed = random.u64(..);
+            for (number, fleet) in fleets.iter().enumerate() {
+                for place in 0..NODES {
+                    let cold = RATE * (1.0 - 2.0 * HOT) / NODES as f64;
+                    let heat = hot.iter().filter(|h| **h == place).count() as f64;
+                    let rate = if full { FULL } else { cold + heat * RATE * HOT };
+                    for (handler, rate) in [("browse", rate), ("plain", PLAIN)] {
+                        let callers = fleet.call(
+                            place,
+                            handler,
+                            rate,
+                            span,
+                            seed ^ u64::from(handler == "plain") << 32,
+                        );
+                        batches.extend(callers.map(|callers| Batch {
+                            fleet: number,
+                            place,
+                            handler,
+                            callers,
+                        }));
+                    }
+                }
+            }
+            segment += SEGMENT;
+        }
+        // A zone with one keeper is cut off, and all use what they may.
+        let majority = |place: usize| place < NODES && place % ZONES != ZONES - 1;
+        if cut == 0 && now >= at(ZONE) {
+            cut = 1;
+            fleets.iter().for_each(|fleet| fleet.shared.set(Fault::Slow(3)));
+            for ((from, to), link) in &fleets[0].links {
+                if (from % ZONES == ZONES - 1) != (to % ZONES == ZONES - 1) {
+                    link.set(Way::Cut, Way::Cut);
+                }
+            }
+        }
+        if cut == 1 && now >= at(ZONE + 1.5) {
+            (cut, cut_from) = (2, fleets[0].held_s(majority));
+        }
+        if cut == 2 && now >= at(QUIET) {
+            cut = 3;
+            side = (fleets[0].held_s(majority) - cut_from) / (QUIET - ZONE - 1.5);
+            fleets[0].links.values().for_each(|link| link.set(Way::Open, Way::Open));
+        }
+        if last_from.is_none() && now >= at(LAST) {
+            last_from = Some(fleets[0].held_s(|_| true));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    if let Some(from) = last_from {
+        last = (fleets[0].held_s(|_| true) - from) / (END - LAST);
+    }
+    let _ = hot;
+    let (mut values, mut calm) = ([0.0; 2], [0.0; 2]);
+    let (mut lost, mut twice, mut plain, mut plain_good, mut sent) = (0, 0, 0, 0, 0);
+    for Batch { fleet, place, handler, callers } in batches {
+        for req in callers.join() {
+            let seconds = req.due.saturating_duration_since(start).as_secs_f64();
+            if handler == "browse" && seconds < ZONE {
+                values[fleet] += value(&req);
+                calm[fleet] += if seconds < FAULTS { value(&req) } else { 0.0 };
+            }
+            if fleet != 0 {
+                continue;
+            }
+            sent += 1;
+            twice += usize::from(req.heard.len() > 1);
+            if fleets[0].there(place, req.due) {
+                let in_time =
+                    req.heard.first().is_some_and(|(at, _)| at.saturating_duration_since(req.due) <= TIMEOUT);
+                lost += usize::from(!in_time);
+                if handler == "plain" {
+                    plain += 1;
+                    plain_good += usize::from(value(&req) == 1.0);
+                }
+            }
+        }
+    }
+    let mut outcome = Outcome::default();
+    let most = fleets[0].shared.counts().most_held;
+    outcome.at_most("calls held at the shared dependency", most as f64, CEILING as f64);
+    outcome.at_least("value beside fixed parts", values[0] / f64::max(values[1], 1.0), 1.3);
+    outcome.at_least("value beside fixed parts without faults", calm[0] / f64::max(calm[1], 1.0), 1.0);
+    outcome.at_least("part of the whole in use after the faults", last / CEILING as f64, 0.9);
+    let fair =
+        CEILING as f64 * (0..NODES).filter(|place| place % ZONES != ZONES - 1).count() as f64 / NODES as f64;
+    outcome.at_least(
+        "fair part of the side with the registry, in use while a zone is cut off",
+        side / fair,
+        0.9,
+    );
+    outcome.at_most("reqs without an answer in time", lost as f64, 0.0);
+    outcome.at_most("reqs answered twice", twice as f64, 0.0);
+    let part = plain_good as f64 / f64::max(plain as f64, 1.0);
+    outcome.at_least("reqs that use no budget, whole and in time", part, 0.99);
+    outcome.at_least("reqs sent", sent as f64, 1_000.0);
+    let shown: Vec<String> = troubles
+        .iter()
+        .map(|t| format!("{:?} of {} {:.1}-{:.1}", t.kind, NAMES[t.node], t.from, t.until))
+        .collect();
+    outcome.figure("troubles", shown);
+    outcome.figure("value", values[0]);
+    outcome.figure("value of fixed parts", values[1]);
+    outcome.figure("most held under fixed parts", fleets[1].shared.counts().most_held);
+    outcome.figure("most held", most);
+    Ok(outcome)
+}
--- a/crates/lab/src/trials/calm.rs
+++ b/crates/lab/src/trials/calm.rs
@@ -15,7 +15,7 @@
 fn measured(node: &Node, seed: u64, seconds: f64) -> io::Result<(f64, usize, usize)> {
     let start = Instant::now() + Duration::from_millis(50);
     let end = start + Duration::from_secs_f64(seconds);
-    let mix = Mix { handler: "browse", rate: RATE, bodies: 200 };
+    let mix = Mix { handler: "browse", rate: RATE, bodies: 200, tag: 0 };
     let before = node.cpu()?;
     let sent = Callers::start(node.addr, &mix, CONNECTIONS, seed, (start, end), TIMEOUT / 2).join();
     let used = node.cpu()? - before;
--- a/crates/lab/src/trials/dependencies.rs
+++ b/crates/lab/src/trials/dependencies.rs
@@ -137,7 +137,7 @@
     // A node makes no call until what its former life may have left there is over.
     let start = Instant::now() + shop::LINGER + Duration::from_millis(500);
     let end = start + Duration::from_secs_f64(spells.last().map_or(CALM, |s| s.to) + LAST_REST);
-    let mix = Mix { handler: "browse", rate: RATE, bodies: 200 };
+    let mix = Mix { handler: "browse", rate: RATE, bodies: 200, tag: 0 };
     let callers = fleets.iter().map(|fleet| {
         let nodes = fleet.nodes.iter().zip(0u64..);
         let of = nodes.map(|(node, place)| {
--- a/crates/lab/src/trials/restarts.rs
+++ b/crates/lab/src/trials/restarts.rs
@@ -23,7 +23,7 @@
     std::thread::sleep(shop::LINGER);
     // Slow, so that limits are reached and calls go on when their node is gone.
     dependencies.iter().for_each(|d| d.set(Fault::Slow(3)));
-    let mix = Mix { handler: "browse", rate: 80.0, bodies: 200 };
+    let mix = Mix { handler: "browse", rate: 80.0, bodies: 200, tag: 0 };
     let (mut answered, mut restarted) = (0, 0);
     for round in 0..ROUNDS as u64 {
         let start = Instant::now();
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -511,6 +511,12 @@
         let Some(table) = leader.and_then(Instance::table) else {
             return Err("no keeper leads at the end".to_string());
         };
+        let voters = leader.map(Instance::voters).unwrap_or_default();
+        let disks = self.nodes.iter().filter_map(|n| n.disk.as_ref()).map(|disk| disk.id);
+        if voters.len() != self.rules.keepers || !disks.clone().all(|id| voters.contains(&id)) {
+            let disks: Vec<KeeperId> = disks.collect();
+            return Err(format!("the voters are {voters:?}, the disks {disks:?}"));
+        }
         let shares = table.budgets.get(BUDGET).map(|whole| whole.shares.values());
         ran.kept_back =
             shares.into_iter().flatten().filter(|share| share.fenced).map(|share| share.amount).sum();
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -74,13 +74,13 @@
     /// What each member may be lent: name of the budget, units, and how long one is in use after its share ended.
     pub fn wholes(&self) -> Vec<(String, u32, Time)> {
         let of = |d: &Dependency| (budget_of(&d.name), d.ceiling as u32, self.longest_call(d));
-        self.dependencies.iter().map(of).collect()
+        self.dependencies.iter().filter(|d| !d.own).map(of).collect()
     }
 
     /// The most of a dependency's ceiling that this instance may use: its fixed part, over which the sum never passes
     /// the ceiling, or all of it where what it may use is lent.
     pub fn share(&self, dependency: &Dependency) -> u64 {
-        if self.peers.is_some() {
+        if self.peers.is_some() || dependency.own {
             return dependency.ceiling;
         }
         dependency.ceiling / self.instances.unwrap_or(1).max(1)
@@ -154,7 +154,8 @@
     }
 
     fn check_dependency(&self, dependency: &Dependency) -> Result<(), Wrong> {
-        let Some(instances) = self.instances.or(self.peers.as_ref().map(|_| 1)) else {
+        let alone = dependency.own || self.peers.is_some();
+        let Some(instances) = self.instances.or(alone.then_some(1)) else {
             return wrong(&dependency.at, format!(
                 "dependency {:?}: its ceiling of {} cannot be divided: expected fleet(instances = N) or peers(...) in the script",
                 dependency.name, dependency.ceiling
@@ -307,7 +308,7 @@
         let (plan, _) = self.plan(handlers);
         for (d, spec) in self.dependencies.iter().zip(&plan.dependencies) {
             let hedge = d.hedge.map_or("no hedging".into(), |q| format!("hedged after the {q} quantile"));
-            if self.peers.is_some() {
+            if self.peers.is_some() && !d.own {
                 line(format!(
                     "dependency {}: the share of an instance that is lost is free again {} after it was last heard",
                     d.name,
@@ -315,9 +316,9 @@
                 ));
             }
             line(format!(
-                "dependency {}: {} {}, budget {}, {} to {} calls here of {} in all, {} may wait, extra calls at most \
+                "dependency {}: {} {}, budget {}, {} to {} calls here of {} {}, {} may wait, extra calls at most \
                  {} of first ones, {hedge}",
-                d.name, d.addr, d.path, in_words(Time(d.budget)), d.floor, spec.share, d.ceiling, spec.waiting, d.retries
+                d.name, d.addr, d.path, in_words(Time(d.budget)), d.floor, spec.share, d.ceiling, if d.own { "from each instance" } else { "in all" }, spec.waiting, d.retries
             ));
         }
         for (page, planned) in self.pages.iter().zip(&plan.pages) {
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -98,6 +98,8 @@
     pub budget: i64,
     /// Calls that it survives, from all instances together.
     pub ceiling: u64,
+    /// Or from this instance alone.
+    pub own: bool,
     pub floor: u64,
     pub linger: i64,
     pub waiting: Option<u64>,
@@ -275,6 +277,7 @@
         json: args.one_of("replies", &["json", "text"], Some("text"))? == "json",
         budget: args.duration("budget", None)?.0,
         ceiling,
+        own: args.one_of("ceiling_of", &["fleet", "instance"], Some("fleet"))? == "instance",
         floor: args.whole("floor", 1, 1 << 20, Some(1))?,
         linger: linger.0,
         waiting,
--- a/crates/registry/src/keeper.rs
+++ b/crates/registry/src/keeper.rs
@@ -78,6 +78,9 @@
     /// Numbers of raft's readies by the numbers of writes.
     readies: VecDeque<(u64, u64)>,
     readings: VecDeque<(u64, u64)>,
+    /// The write of a snapshot that came from the leader. Until it is on disk raft takes the snapshot for unapplied and
+    /// would look for entries that it replaced: nothing reaches it meanwhile.
+    installing: Option<u64>,
     leads: bool,
     /// The term and part for which the timeout was drawn.
     drawn_for: (u64, StateRole),
@@ -146,6 +149,7 @@
             writes: 0,
             readies: VecDeque::new(),
             readings: VecDeque::new(),
+            installing: None,
             leads: false,
             drawn_for: (u64::MAX, StateRole::Follower),
             timeout: ELECTION_TICKS,
@@ -201,7 +205,9 @@
 
     pub fn tick(&mut self) -> Vec<Effect> {
         self.ticks += 1;
-        self.raw.tick();
+        if self.installing.is_none() && !self.broken {
+            self.raw.tick();
+        }
         self.settle()
     }
 
@@ -222,7 +228,8 @@
                 | MessageType::MsgTimeoutNow
         );
         // Proposals and readings are a leader's own: one passed on by another would be older than the leadership.
-        if local || message.to != self.id.0 || self.broken || !self.sound(&message) {
+        let closed = self.broken || self.installing.is_some();
+        if local || closed || message.to != self.id.0 || !self.sound(&message) {
             return Vec::new();
         }
         // The crate takes some things of its peers for granted, and panics where they are not so. What it holds then
@@ -279,6 +286,9 @@
         if let Some(ready) = ready {
             self.raw.on_persist_ready(ready);
         }
+        if self.installing.take_if(|write| *write <= number).is_some() {
+            self.raw.advance_apply_to(self.applied);
+        }
         out.extend(self.settle());
         out
     }
@@ -289,72 +299,54 @@
         self.settle()
     }
 
-    /// A keeper without a state asks to be taken in; `names` are the file's keepers. It is a learner first, and takes
-    /// the place of the former one of its name once it has caught up. One change at a time.
+    /// A keeper without a state asks to be taken in; `names` are the file's keepers. It is a learner at first.
     pub fn admit(&mut self, id: KeeperId, name: &str, names: &[String]) -> Vec<Effect> {
-        let apart = self.ticks >= self.changed + CHANGE_TICKS;
-        if !self.leads || !apart || !names.iter().any(|n| n == name) || self.voters().contains(&id) {
-            return self.settle();
+        let known = self.raw.raft.prs().get(id.0).is_some();
+        if known || !names.iter().any(|n| n == name) {
+            return Vec::new();
         }
-        let progress = self.raw.raft.prs().get(id.0).map(|p| p.matched);
+        // Learners that never caught up go: each try of a keeper that loses its disk again leaves one.
+        let of_name = |old: &u64| self.names.get(&KeeperId(*old)).is_none_or(|n| n == name);
+        let learners = self.raw.raft.prs().conf().to_conf_state().learners;
+        let mut list = vec![change(ConfChangeType::AddLearnerNode, id.0)];
+        list.extend(learners.into_iter().filter(of_name).map(|old| change(ConfChangeType::RemoveNode, old)));
+        self.change(list, Some((id, name.to_string())))
+    }
+
+    /// What the leader has to see to, at each tick: a learner that has caught up takes the place of the former keeper
+    /// of its name, and keepers that the file no longer names go. One change at a time.
+    pub fn tend(&mut self, names: &[String]) -> Vec<Effect> {
+        let conf = self.raw.raft.prs().conf().to_conf_state();
         let committed = self.raw.raft.raft_log.committed;
-        let change = |kind, id: u64| {
-            let mut one = ConfChangeSingle::default();
-            one.set_change_type(kind);
-            one.node_id = id;
-            one
+        let caught_up = |id: &&u64| {
+            let matched = self.raw.raft.prs().get(**id).map_or(0, |progress| progress.matched);
+            matched > 0 && matched + CAUGHT_UP >= committed
         };
-        let mut changes = ConfChangeV2::default();
-        changes.set_transition(ConfChangeTransition::Auto);
-        match progress {
-            // Learners that never caught up go: each try of a keeper that loses its disk again leaves one.
-            None => {
-                let learners = self.raw.raft.prs().conf().to_conf_state().learners;
-                let of_name = |id: &u64| self.names.get(&KeeperId(*id)).is_none_or(|n| n == name);
-                let mut list = vec![change(ConfChangeType::AddLearnerNode, id.0)];
-                list.extend(
-                    learners.into_iter().filter(of_name).map(|old| change(ConfChangeType::RemoveNode, old)),
-                );
-                changes.set_changes(list.into());
-            }
-            Some(matched) if matched > 0 && matched + CAUGHT_UP >= committed => {
-                let former = self
-                    .names
-                    .iter()
-                    .filter(|(other, n)| **other != id && *n == name)
-                    .map(|(other, _)| *other);
-                let mut list = vec![change(ConfChangeType::AddNode, id.0)];
-                let voters = self.voters();
-                list.extend(
-                    former.filter(|f| voters.contains(f)).map(|f| change(ConfChangeType::RemoveNode, f.0)),
-                );
-                changes.set_changes(list.into());
-            }
-            Some(_) => return self.settle(),
-        }
-        let context = postcard::to_allocvec(&(id, name)).unwrap_or_default();
-        changes.context = context.clone().into();
-        if self.raw.propose_conf_change(context, changes).is_ok() {
-            self.changed = self.ticks;
+        if let Some(id) = conf.learners.iter().find(caught_up).copied() {
+            let name = self.names.get(&KeeperId(id)).cloned().unwrap_or_default();
+            let former = conf.voters.iter().filter(|old| self.names.get(&KeeperId(**old)) == Some(&name));
+            let mut list = vec![change(ConfChangeType::AddNode, id)];
+            list.extend(former.map(|old| change(ConfChangeType::RemoveNode, *old)));
+            return self.change(list, Some((KeeperId(id), name)));
         }
-        self.settle()
+        let gone = |id: &&u64| {
+            let name = self.names.get(&KeeperId(**id));
+            **id != self.id.0 && name.is_some_and(|name| !names.contains(name))
+        };
+        let gone = conf.voters.iter().chain(&conf.learners).find(gone).copied();
+        gone.map_or(Vec::new(), |id| self.change(vec![change(ConfChangeType::RemoveNode, id)], None))
     }
 
-    /// Takes keepers out that the file no longer names, one at a time.
-    pub fn dismiss(&mut self, names: &[String]) -> Vec<Effect> {
-        let apart = self.ticks >= self.changed + CHANGE_TICKS;
-        let conf = self.raw.raft.prs().conf().to_conf_state();
-        let all = conf.voters.iter().chain(&conf.learners).copied();
-        let gone = |id: &u64| self.names.get(&KeeperId(*id)).is_some_and(|name| !names.contains(name));
-        let Some(id) = all.filter(|id| *id != self.id.0).find(gone).filter(|_| self.leads && apart) else {
+    fn change(&mut self, list: Vec<ConfChangeSingle>, whom: Option<(KeeperId, String)>) -> Vec<Effect> {
+        if !self.leads || self.broken || self.ticks < self.changed + CHANGE_TICKS {
             return Vec::new();
-        };
-        let mut one = ConfChangeSingle::default();
-        one.set_change_type(ConfChangeType::RemoveNode);
-        one.node_id = id;
+        }
         let mut changes = ConfChangeV2::default();
-        changes.set_changes(vec![one].into());
-        if self.raw.propose_conf_change(Vec::new(), changes).is_ok() {
+        changes.set_transition(ConfChangeTransition::Auto);
+        changes.set_changes(list.into());
+        let context = whom.map_or(Vec::new(), |whom| postcard::to_allocvec(&whom).unwrap_or_default());
+        changes.context = context.clone().into();
+        if self.raw.propose_conf_change(context, changes).is_ok() {
             self.changed = self.ticks;
         }
         self.settle()
@@ -370,7 +362,7 @@
             self.timeout = self.random.usize(ELECTION_TICKS..2 * ELECTION_TICKS);
         }
         self.raw.raft.set_randomized_election_timeout(self.timeout);
-        while self.raw.has_ready() && !self.broken {
+        while self.installing.is_none() && !self.broken && self.raw.has_ready() {
             let mut ready = self.raw.ready();
             let snapshot = ready.snapshot().clone();
             let mut write = Write { number: self.writes + 1, ..Write::default() };
@@ -380,6 +372,7 @@
                     break;
                 }
                 write.snapshot = Some((snapshot.get_metadata().index, encoded(&snapshot)));
+                self.installing = Some(write.number);
                 out.push(Effect::Applied);
             }
             write.entries = ready.entries().iter().map(|e| (e.index, encoded(e))).collect();
@@ -466,8 +459,12 @@
 
     /// Puts a snapshot in the place of many entries.
     fn compact(&mut self, out: &mut Vec<Effect>) {
-        let base = self.raw.store().snapshot.get_metadata().index;
-        if self.raw.store().len() < MOST_ENTRIES || self.applied < base + MOST_ENTRIES as u64 / 2 {
+        let meta = self.raw.store().snapshot.get_metadata();
+        let (base, many) = (meta.index, self.raw.store().len() >= MOST_ENTRIES);
+        // A keeper that joins takes no snapshot in which it does not stand.
+        let joined = *meta.get_conf_state() != self.raw.store().conf;
+        let due = many && self.applied >= base + MOST_ENTRIES as u64 / 2 || joined && self.applied > base;
+        if !due || base == 0 {
             return;
         }
         let Ok(term) = self.raw.raft.raft_log.term(self.applied) else { return };
@@ -499,6 +496,13 @@
     }
 }
 
+fn change(kind: ConfChangeType, id: u64) -> ConfChangeSingle {
+    let mut one = ConfChangeSingle::default();
+    one.set_change_type(kind);
+    one.node_id = id;
+    one
+}
+
 fn send(message: &Message) -> Effect {
     Effect::Send { to: KeeperId(message.to), bytes: encoded(message) }
 }
--- /dev/null
+++ b/crates/registry/tests/keepers.rs
@@ -0,0 +1,172 @@
+//! Keepers that speak in memory, each with a disk that is written at once unless a test holds it back.
+use cottondyke_registry::{Effect, Keeper, KeeperId, Saved, State};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Commands in their order.
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Log(Vec<u8>);
+
+impl State for Log {
+    fn apply(&mut self, command: &[u8]) {
+        self.0.extend_from_slice(command);
+    }
+
+    fn save(&self) -> Vec<u8> {
+        self.0.clone()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> bool {
+        self.0 = bytes.to_vec();
+        true
+    }
+}
+
+#[derive(Default)]
+struct Few {
+    keepers: BTreeMap<KeeperId, Keeper<Log>>,
+    disks: BTreeMap<KeeperId, Saved>,
+    words: VecDeque<(KeeperId, Vec<u8>)>,
+    confirmed: Vec<(KeeperId, u64)>,
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn names() -> Vec<String> {
+    NAMES.map(String::from).to_vec()
+}
+
+impl Few {
+    fn founded() -> Self {
+        let set: BTreeMap<KeeperId, String> = (1..).map(KeeperId).zip(names()).collect();
+        let mut few = Few::default();
+        for id in set.keys() {
+            let mut saved = Saved::new(*id);
+            saved.apply(Keeper::founded(&set, &Log::default()));
+            few.disks.insert(*id, saved);
+            few.open(*id);
+        }
+        few
+    }
+
+    fn open(&mut self, id: KeeperId) {
+        let saved = self.disks.entry(id).or_insert(Saved::new(id));
+        self.keepers.insert(id, Keeper::open(saved, Log::default(), 7).unwrap());
+    }
+
+    fn carry(&mut self, id: KeeperId, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, bytes } => self.words.push_back((to, bytes)),
+                Effect::Store(write) => {
+                    let number = write.number;
+                    self.disks.get_mut(&id).unwrap().apply(write);
+                    let more = self.keepers.get_mut(&id).unwrap().stored(number);
+                    self.carry(id, more);
+                }
+                Effect::Confirmed(number) => self.confirmed.push((id, number)),
+                Effect::Leads(_) | Effect::Applied => {}
+            }
+        }
+    }
+
+    fn ticks(&mut self, count: usize) {
+        for _ in 0..count {
+            for id in self.keepers.keys().copied().collect::<Vec<_>>() {
+                let keeper = self.keepers.get_mut(&id).unwrap();
+                let mut effects = keeper.tick();
+                effects.extend(keeper.tend(&names()));
+                for to in keeper.sending_snapshot() {
+                    keeper.snapshot_sent(to, true);
+                }
+                self.carry(id, effects);
+            }
+            while let Some((to, bytes)) = self.words.pop_front() {
+                if let Some(keeper) = self.keepers.get_mut(&to) {
+                    let effects = keeper.heard(&bytes);
+                    self.carry(to, effects);
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> KeeperId {
+        *self.keepers.iter().find(|(_, keeper)| keeper.leads()).expect("one leads").0
+    }
+
+    fn propose(&mut self, command: &[u8]) {
+        let leader = self.leader();
+        let effects = self.keepers.get_mut(&leader).unwrap().propose(command.to_vec()).unwrap();
+        self.carry(leader, effects);
+    }
+}
+
+/// Guards the registry's majority: a keeper whose disk is lost is replaced under a new number and votes again, so that
+/// another may be lost after it. It was a learner for ever once, since no snapshot held it.
+#[test]
+fn a_keeper_that_lost_its_disk_takes_its_former_place() {
+    let mut few = Few::founded();
+    few.ticks(60);
+    few.propose(b"1");
+    few.ticks(4);
+    for (old, new) in [(1, 11), (2, 12), (3, 13)] {
+        let (old, new) = (KeeperId(old), KeeperId(new));
+        few.keepers.remove(&old);
+        few.ticks(60);
+        few.open(new);
+        for _ in 0..8 {
+            let leader = few.leader();
+            let name = NAMES[old.0 as usize - 1];
+            let effects = few.keepers.get_mut(&leader).unwrap().admit(new, name, &names());
+            few.carry(leader, effects);
+            few.ticks(12);
+        }
+        few.propose(b"x");
+        few.ticks(4);
+        let keeper = &few.keepers[&new];
+        assert!(keeper.voters().contains(&new) && !keeper.voters().contains(&old), "{:?}", keeper.voters());
+        assert_eq!(keeper.voters().len(), 3);
+    }
+    assert_eq!(few.keepers[&KeeperId(13)].state.0, b"1xxx");
+}
+
+/// Guards what was agreed: a keeper started again knows it, from a snapshot and the entries after it.
+#[test]
+fn a_keeper_started_again_knows_what_was_agreed() {
+    let mut few = Few::founded();
+    few.ticks(60);
+    for number in 0..1_200u32 {
+        few.propose(&[number as u8]);
+        few.ticks(1);
+    }
+    few.ticks(10);
+    let leader = few.leader();
+    let known = few.keepers[&leader].state.clone();
+    assert_eq!(known.0.len(), 1_200);
+    assert!(few.disks[&leader].entries.len() < 600, "{}", few.disks[&leader].entries.len());
+    for id in [1, 2, 3].map(KeeperId) {
+        few.open(id);
+    }
+    few.ticks(60);
+    assert!(few.keepers.values().all(|keeper| keeper.state == known));
+}
+
+/// Guards the granter: a leader that a majority does not hear is not confirmed, one that it hears is.
+#[test]
+fn only_a_leader_that_is_heard_is_confirmed() {
+    let mut few = Few::founded();
+    few.ticks(60);
+    let leader = few.leader();
+    let effects = few.keepers.get_mut(&leader).unwrap().confirm(5);
+    few.carry(leader, effects);
+    few.ticks(2);
+    assert_eq!(few.confirmed, [(leader, 5)]);
+    let others: Vec<KeeperId> = few.keepers.keys().copied().filter(|id| *id != leader).collect();
+    for other in others {
+        few.keepers.remove(&other);
+    }
+    let effects = few.keepers.get_mut(&leader).unwrap().confirm(6);
+    few.carry(leader, effects);
+    few.ticks(60);
+    assert_eq!(few.confirmed, [(leader, 5)]);
+    assert!(!few.keepers[&leader].leads());
+}
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -135,7 +135,8 @@
     /// The share of each dependency goes into the plan.
     pub fn lend(&self, plan: &mut Plan) {
         let now = self.clock.now();
-        for spec in &mut plan.dependencies {
+        let shared = |name: &str| self.instance.borrow().names().any(|budget| *budget == budget_of(name));
+        for spec in plan.dependencies.iter_mut().filter(|spec| shared(&spec.name)) {
             let lent = self.lent.borrow_mut().entry(spec.name.to_string()).or_default().clone();
             if let Some(spec) = Rc::get_mut(spec) {
                 spec.lent = Some(lent);
--- a/crates/standin/src/dependency.rs
+++ b/crates/standin/src/dependency.rs
@@ -42,6 +42,8 @@
     /// Calls of a req that had called before.
     pub extra: u64,
     pub good: u64,
+    /// Seconds that calls were held, added up, by the first four digits of their reqs' ids.
+    pub held_s: std::collections::BTreeMap<String, f64>,
     /// Bytes of a req that stands among those seen, with its number of calls.
     seen: std::collections::HashMap<String, u32>,
 }
@@ -181,11 +183,14 @@
 }
 
 /// Counts a call as held until it is dropped.
-struct Held<'a>(&'a Inner);
+struct Held<'a>(&'a Inner, String, Instant);
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
-        self.0.state().counts.held -= 1;
+        let mut state = self.0.state();
+        state.counts.held -= 1;
+        *state.counts.held_s.entry(std::mem::take(&mut self.1)).or_default() +=
+            self.2.elapsed().as_secs_f64();
     }
 }
 
@@ -197,6 +202,7 @@
         reader.get_ref().set_read_timeout(Some(IDLE))?;
         let asked = asked(&mut reader)?;
         let number = inner.number.fetch_add(1, Ordering::Relaxed);
+        let of = asked.req.get(..4).unwrap_or_default().to_string();
         let (fault, held, draw) = {
             let mut state = inner.state();
             let state = &mut *state;
@@ -208,7 +214,7 @@
             state.counts.extra += u64::from(*calls > 1);
             (state.fault, state.counts.held, state.random.f64())
         };
-        let held_now = Held(inner);
+        let held_now = Held(inner, of, Instant::now());
         let crowd = (held as f64 / inner.shape.knee as f64).max(1.0);
         let usual = inner.shape.time.mul_f64((0.5 + draw) * crowd);
         let time = match fault {
--- /dev/null
+++ b/examples/peers/a.star
@@ -0,0 +1,3 @@
+load("shop.star", "instance")
+
+instance("a", 6571)
--- /dev/null
+++ b/examples/peers/c.star
@@ -0,0 +1,3 @@
+load("shop.star", "instance")
+
+instance("c", 6573)
