Instances list each other: SWIM over the peers port, shown by cottondyke peers

Members, zones and standings in the log and in cottondyke peers ADDR; advertise and probe in peers(...).

--- a/crates/budget/src/shares.rs
+++ b/crates/budget/src/shares.rs
@@ -29,7 +29,7 @@
     /// The most that was allowed since use was last told: so much may have been begun meanwhile.
     allowed: u32,
     /// What was last asked, to see what has changed.
-    said: (u32, u32),
+    said: (u32, u32, Epoch),
 }
 
 #[derive(Debug)]
@@ -148,15 +148,19 @@
         }
         let wants: Vec<Want> = self.mine.iter().map(|(name, mine)| self.want(name, mine)).collect();
         let changed = self.mine.values().zip(&wants).any(|(mine, want)| {
-            let (need, holds) = mine.said;
-            want.holds < holds || want.need > need.max(mine.cap) || (want.need == 0) != (need == 0)
+            let (need, holds, epoch) = mine.said;
+            // Under a new epoch nothing that was given back before counts.
+            want.epoch != epoch
+                || want.holds < holds
+                || want.need > need.max(mine.cap)
+                || (want.need == 0) != (need == 0)
         });
         let soon = self.last.is_none_or(|last| now >= last + self.terms.lease.times(SOON));
         if now < self.next() && !(changed && soon) {
             return None;
         }
         for (mine, want) in self.mine.values_mut().zip(&wants) {
-            mine.said = (want.need, want.holds);
+            mine.said = (want.need, want.holds, want.epoch);
         }
         self.nonce.0 += 1;
         self.last = Some(now);
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -4,6 +4,7 @@
     Ask, Command, Epoch, Granter, Holdback, Holder, Shares, Table, Terms, Usage, MOST_HOLDERS,
 };
 use cottondyke_decide::types::Time;
+use cottondyke_peers::{self as peers, Listed, Member, Peers};
 use cottondyke_registry::{self as registry, Founding, Keeper, KeeperId, Saved, State, Write};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -48,6 +49,13 @@
     pub me: Holder,
     /// An earlier life of this name that is known to be over.
     pub former: Option<u64>,
+    pub zone: String,
+    /// Where others reach it.
+    pub addr: SocketAddr,
+    /// How often another member is looked after.
+    pub probe: Time,
+    /// Off in trials alone.
+    pub suspicion: bool,
     /// The keepers' names and addresses, alike in every instance's file.
     pub keepers: BTreeMap<String, SocketAddr>,
     /// Name, units and linger of each budget.
@@ -69,12 +77,21 @@
     Lease(bool),
     Leads(bool),
     Founded(usize),
+    Up(Member),
+    Down(Member),
+    Refuted,
+    Doubled(Member),
     /// The registry's disk, or what it held, is of no use: this keeper takes part no longer.
     KeeperBroken,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
+    /// To be sent by itself, without a link.
+    Datagram {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
     Send {
         to: SocketAddr,
         bytes: Vec<u8>,
@@ -92,6 +109,8 @@
     /// The keeper that leads, as far as this instance keeps the registry and knows it.
     pub leader: Option<String>,
     pub leads: bool,
+    /// Who is there, this instance first.
+    pub members: Vec<Listed>,
     pub keeps: bool,
     /// What is left of the lease of its own shares.
     pub lease_ms: i64,
@@ -144,6 +163,7 @@
 pub struct Instance {
     setup: Setup,
     keeping: Option<Keeping>,
+    peers: Peers,
     granter: Granter,
     shares: Shares,
     /// The keeper that is asked, by its place in the order of names.
@@ -166,7 +186,17 @@
         let mut shares = Shares::new(setup.me.clone(), setup.former, setup.terms);
         shares.name(setup.wholes.iter().map(|(name, ..)| name.clone()));
         let own = setup.keepers.keys().position(|name| *name == setup.me.name);
+        let me = Member {
+            name: setup.me.name.clone(),
+            zone: setup.zone.clone(),
+            addr: setup.addr,
+            life: setup.me.life,
+            turn: 0,
+            leaving: false,
+        };
+        let seeds = setup.keepers.clone().into_iter().collect();
         Ok(Instance {
+            peers: Peers::new(me, seeds, setup.probe, setup.suspicion, setup.seed),
             granter: Granter::new(setup.terms),
             shares,
             keeping,
@@ -186,6 +216,7 @@
         &mut self, now: Time, keepers: BTreeMap<String, SocketAddr>, wholes: Vec<(String, u32, Time)>,
     ) -> Vec<Effect> {
         self.shares.name(wholes.iter().map(|(name, ..)| name.clone()));
+        self.peers.seeds(keepers.clone().into_iter().collect());
         (self.setup.keepers, self.setup.wholes) = (keepers, wholes);
         self.asked = 0;
         self.after(now)
@@ -198,9 +229,40 @@
 
     pub fn leave(&mut self, now: Time) -> Vec<Effect> {
         self.shares.leave();
+        let effects = self.peers.leaving(now);
+        self.hear(effects);
         self.after(now)
     }
 
+    /// The process ends: others need not find it out.
+    pub fn gone(&mut self, now: Time) -> Vec<Effect> {
+        let effects = self.peers.leave(now);
+        self.hear(effects);
+        std::mem::take(&mut self.out)
+    }
+
+    /// A datagram came.
+    pub fn datagram(&mut self, now: Time, bytes: &[u8]) -> Vec<Effect> {
+        let (effects, _) = self.peers.heard(now, bytes);
+        self.hear(effects);
+        std::mem::take(&mut self.out)
+    }
+
+    fn hear(&mut self, effects: Vec<peers::Effect>) {
+        self.out.extend(effects.into_iter().map(|effect| match effect {
+            peers::Effect::Send { to, bytes } => Effect::Datagram { to, bytes },
+            peers::Effect::Up(member) => Effect::Tell(Change::Up(member)),
+            peers::Effect::Down(member) => Effect::Tell(Change::Down(member)),
+            peers::Effect::Refuted => Effect::Tell(Change::Refuted),
+            peers::Effect::Doubled(member) => Effect::Tell(Change::Doubled(member)),
+        }));
+    }
+
+    /// Who is there, as far as this instance has heard.
+    pub fn list(&self) -> Vec<Listed> {
+        self.peers.list()
+    }
+
     pub fn ceiling(&self, now: Time, budget: &str) -> u32 {
         self.shares.ceiling(now, budget)
     }
@@ -219,10 +281,14 @@
         let tick = self.keeping.as_ref().filter(|k| k.begun).map_or(Time::MAX, |k| k.tick);
         let until = if self.live { self.shares.until() } else { Time::MAX };
         let patience = self.waits.map_or(Time::MAX, |at| at + self.setup.terms.lease.times(PATIENCE));
-        tick.min(self.shares.next()).min(until).min(patience)
+        tick.min(self.shares.next()).min(until).min(patience).min(self.peers.next())
     }
 
     pub fn timer(&mut self, now: Time) -> Vec<Effect> {
+        if now >= self.peers.next() {
+            let effects = self.peers.timer(now);
+            self.hear(effects);
+        }
         if let Some(keeping) = self.keeping.as_mut().filter(|k| now >= k.tick && k.begun) {
             // A process that was stopped does not make up for the ticks that it missed.
             keeping.tick = now + TICK;
@@ -339,6 +405,7 @@
             life: self.setup.me.life,
             leader: keeper.and_then(|k| k.names().get(&k.leader()?).cloned()),
             leads: self.leads(),
+            members: self.list(),
             keeps: keeper.is_some_and(|k| k.has_state() && !k.is_broken()),
             lease_ms: ((self.shares.until() - now).0 / 10).max(0),
             shares: mine.collect(),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,6 +6,7 @@
 use cottondyke_budget::{Defences, Holder, Terms, Usage};
 use cottondyke_decide::types::Time;
 use cottondyke_fleet::{Change, Effect, Instance, Setup};
+use cottondyke_peers::Standing;
 use cottondyke_registry::{KeeperId, Saved, Write};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -19,6 +20,7 @@
 /// The longest call.
 pub const LINGER: i64 = 400 * MS;
 const SLIP: i64 = 30 * S;
+const PROBE: i64 = 500 * MS;
 /// How often an instance looks at its load.
 const LOOK: i64 = 20 * MS;
 
@@ -68,7 +70,7 @@
 }
 
 enum Event {
-    Deliver { to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
+    Deliver { alone: bool, to: SocketAddr, from: SocketAddr, bytes: Vec<u8> },
     Timer { node: usize, life: u64 },
     Look { node: usize, life: u64 },
     Stored { node: usize, life: u64 },
@@ -199,6 +201,10 @@
             me: Holder { name: node.name.clone(), life },
             former: node.former,
             keepers,
+            zone: format!("z{}", place % 3),
+            addr: node.addr,
+            probe: Time(PROBE),
+            suspicion: true,
             wholes: vec![(BUDGET.to_string(), self.rules.whole, Time(LINGER))],
             terms,
             seed: self.random.u64(..),
@@ -225,7 +231,8 @@
         let from = self.nodes[place].addr;
         for effect in effects {
             match effect {
-                Effect::Send { to, bytes } => self.send(place, from, to, bytes),
+                Effect::Send { to, bytes } => self.send(place, from, to, bytes, false),
+                Effect::Datagram { to, bytes } => self.send(place, from, to, bytes, true),
                 Effect::Store(write) => {
                     let life = self.nodes[place].life;
                     self.nodes[place].unstored.push_back(write);
@@ -254,7 +261,7 @@
         }
     }
 
-    fn send(&mut self, place: usize, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+    fn send(&mut self, place: usize, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>, alone: bool) {
         let Some(target) = self.place(to) else { return };
         let quiet = self.now >= self.rules.trouble;
         if quiet {
@@ -268,7 +275,7 @@
         for _ in 0..1 + usize::from(twice) {
             let late = if !quiet && self.random.f64() < 0.02 { self.random.i64(0..2 * S) } else { 0 };
             let at = self.now + self.random.i64(1..4 * MS) + late;
-            self.push(at, Event::Deliver { to, from, bytes: bytes.clone() });
+            self.push(at, Event::Deliver { to, from, bytes: bytes.clone(), alone });
         }
     }
 
@@ -396,11 +403,12 @@
             return;
         }
         match event {
-            Event::Deliver { to, from, bytes } => {
+            Event::Deliver { to, from, bytes, alone } => {
                 let Some(place) = self.place(to) else { return };
                 let now = self.local(place);
                 let Some(instance) = &mut self.nodes[place].instance else { return };
-                let effects = instance.heard(now, from, &bytes);
+                let effects =
+                    if alone { instance.datagram(now, &bytes) } else { instance.heard(now, from, &bytes) };
                 self.carry(place, effects);
             }
             Event::Timer { node, life } if self.nodes[node].life == life => {
@@ -511,6 +519,17 @@
         let Some(table) = leader.and_then(Instance::table) else {
             return Err("no keeper leads at the end".to_string());
         };
+        for place in &live {
+            let list = self.nodes[*place].instance.as_ref().map(Instance::list).unwrap_or_default();
+            let mut listed: Vec<&str> =
+                list.iter().filter(|l| l.standing != Standing::Dead).map(|l| l.name.as_str()).collect();
+            listed.sort();
+            let names: Vec<&str> = live.iter().map(|place| self.nodes[*place].name.as_str()).collect();
+            // One that was away itself may still list who died meanwhile, until it comes to probe it.
+            if !names.iter().all(|name| listed.contains(name)) {
+                return Err(format!("{} lists {listed:?}, there are {names:?}", self.nodes[*place].name));
+            }
+        }
         let voters = leader.map(Instance::voters).unwrap_or_default();
         let disks = self.nodes.iter().filter_map(|n| n.disk.as_ref()).map(|disk| disk.id);
         if voters.len() != self.rules.keepers || !disks.clone().all(|id| voters.contains(&id)) {
--- a/crates/operator/src/typed.rs
+++ b/crates/operator/src/typed.rs
@@ -78,6 +78,10 @@
     pub name: String,
     pub zone: String,
     pub listen: SocketAddr,
+    /// Where others reach it, where that is not `listen`.
+    pub advertise: Option<SocketAddr>,
+    /// How often another member is looked after.
+    pub probe: i64,
     /// Those who keep the registry, by name.
     pub keepers: Vec<(String, SocketAddr)>,
     /// Where it keeps what outlives it. A keeper needs it.
@@ -153,9 +157,20 @@
     pub off: Vec<String>,
 }
 
-pub const DEFENCES: [&str; 12] = [
-    "budget", "limit", "adapt", "breaker", "hedge", "kept", "fallback", "restart", "lease", "fence",
-    "linger", "need",
+pub const DEFENCES: [&str; 13] = [
+    "budget",
+    "limit",
+    "adapt",
+    "breaker",
+    "hedge",
+    "kept",
+    "fallback",
+    "restart",
+    "lease",
+    "fence",
+    "linger",
+    "need",
+    "suspicion",
 ];
 /// Keepers of a registry: a majority of them must be there.
 const KEEPERS: [usize; 3] = [1, 3, 5];
@@ -204,6 +219,10 @@
         name,
         zone: args.name("zone", Some("here"))?,
         listen: address(&mut args, "listen")?,
+        advertise: args.read("advertise", "None or an IP address with a port", Some(None), |value| {
+            value.as_str()?.parse().ok().map(Some)
+        })?,
+        probe: args.duration("probe", Some(Time(1_000 * MS)))?.0,
         keepers,
         data,
         lease: args.duration("lease", Some(Time(3_000 * MS)))?.0,
@@ -214,6 +233,10 @@
         let given = Json::from(in_words(Time(peers.lease)));
         return Err(args.expected("lease", &given, "a time from \"500ms\" to \"10m\""));
     }
+    if !(50 * MS..=60_000 * MS).contains(&peers.probe) {
+        let given = Json::from(in_words(Time(peers.probe)));
+        return Err(args.expected("probe", &given, "a time from \"50ms\" to \"1m\""));
+    }
     args.finish().map(|()| peers)
 }
 
--- a/crates/server/src/fleet/look.rs
+++ b/crates/server/src/fleet/look.rs
@@ -45,6 +45,11 @@
         "{} (life {}): {part}; leader {leader}; lease for {} ms",
         view.name, view.life, view.lease_ms
     );
+    for member in &view.members {
+        let standing = format!("{:?}", member.standing).to_lowercase();
+        let _ =
+            writeln!(text, "  {} (life {}) in zone {}: {standing}", member.name, member.life, member.zone);
+    }
     for (budget, units) in &view.shares {
         let _ = writeln!(text, "  may use {units} of {budget}");
     }
--- a/crates/server/src/fleet/mod.rs
+++ b/crates/server/src/fleet/mod.rs
@@ -12,9 +12,10 @@
 use cottondyke_depend::{Lent, Plan, Use};
 use cottondyke_fleet::{Change, Effect, Instance, Setup};
 use cottondyke_operator::{budget_of, Operator, Peers};
+use cottondyke_peers::MOST_DATAGRAM;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::{Rc, Weak};
 
 /// How often the use of budgets is looked at.
@@ -37,6 +38,7 @@
     learnt: RefCell<BTreeMap<String, Learnt>>,
     clock: Clock,
     links: links::Links,
+    datagrams: Async<UdpSocket>,
     disk: Option<disk::Writer>,
     executor: Rc<LocalExecutor<'static>>,
     own: Peers,
@@ -56,12 +58,27 @@
     operator.wholes()
 }
 
+/// One port for links and datagrams. Where the system chooses it, one that is free for links may be taken for
+/// datagrams: then another is tried.
+fn bind(addr: SocketAddr) -> std::io::Result<(Async<TcpListener>, Async<UdpSocket>)> {
+    let mut tries = if addr.port() == 0 { 16 } else { 1 };
+    loop {
+        let listener = Async::<TcpListener>::bind(addr)?;
+        tries -= 1;
+        match Async::<UdpSocket>::bind(listener.get_ref().local_addr()?) {
+            Ok(datagrams) => return Ok((listener, datagrams)),
+            Err(e) if tries == 0 => return Err(e),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Opens the folder and the port. An error says in one line what is wrong.
 pub fn start(
     operator: &Operator, peers: &Peers, clock: Clock, executor: Rc<LocalExecutor<'static>>, seed: u64,
 ) -> Result<Started, String> {
     let at = |what: String| format!("{}:{}: peers: {what}", peers.at.file, peers.at.line);
-    let listener = Async::<TcpListener>::bind(peers.listen)
+    let (listener, datagrams) = bind(peers.listen)
         .map_err(|e| at(format!("listen = {:?}: cannot listen there: {e}", peers.listen.to_string())))?;
     let home = peers.data.as_ref().map(|folder| disk::Home::open(folder)).transpose().map_err(at)?;
     let keeps = peers.keepers.iter().any(|(name, _)| *name == peers.name);
@@ -84,7 +101,12 @@
             need: operator.keeps("need"),
         },
     };
+    let bound = listener.get_ref().local_addr().unwrap_or(peers.listen);
     let setup = Setup {
+        zone: peers.zone.clone(),
+        addr: peers.advertise.unwrap_or(bound),
+        probe: Time(peers.probe),
+        suspicion: operator.keeps("suspicion"),
         me: Holder { name: peers.name.clone(), life },
         former,
         keepers: peers.keepers.iter().cloned().collect(),
@@ -100,11 +122,12 @@
         learnt: RefCell::default(),
         clock,
         links: links::Links::default(),
+        datagrams,
         disk: writer,
         executor,
         own: peers.clone(),
     });
-    tracing::info!(name = peers.name, life, listen = %listener.get_ref().local_addr().unwrap_or(peers.listen), "among peers");
+    tracing::info!(name = peers.name, life, listen = %bound, "among peers");
     Ok(Started { fleet, listener, stored, _home: home })
 }
 
@@ -112,6 +135,7 @@
     /// Serves the links, the disk and the instance's own timers; does not end.
     pub async fn run(self) {
         let Started { fleet, listener, stored, _home } = self;
+        let hearing = fleet.executor.spawn(fleet.clone().datagrams());
         let accepting = fleet.executor.spawn(links::accept(fleet.clone(), listener));
         let storing = stored.map(|stored| fleet.executor.spawn(fleet.clone().store(stored)));
         loop {
@@ -120,11 +144,15 @@
             let next = fleet.instance.borrow().next().min(now + LOOK).max(now + Time(1));
             Timer::at(fleet.clock.instant(next)).await;
             // A task that ended by a panic must not be missed.
-            if accepting.is_finished() || storing.as_ref().is_some_and(async_executor::Task::is_finished) {
+            if accepting.is_finished()
+                || hearing.is_finished()
+                || storing.as_ref().is_some_and(async_executor::Task::is_finished)
+            {
                 break;
             }
         }
         accepting.await;
+        hearing.await;
         if let Some(storing) = storing {
             storing.await;
         }
@@ -188,8 +216,10 @@
 
     /// What of the file's `peers` cannot change while the program runs.
     pub fn differs(&self, new: &Peers) -> bool {
-        let fixed =
-            |p: &Peers| (p.name.clone(), p.zone.clone(), p.listen, p.data.clone(), p.lease, p.longest_stop);
+        let fixed = |p: &Peers| {
+            let times = (p.lease, p.longest_stop, p.probe);
+            (p.name.clone(), p.zone.clone(), p.listen, p.advertise, p.data.clone(), times)
+        };
         fixed(&self.own) != fixed(new)
     }
 
@@ -203,6 +233,29 @@
         self.with(|instance| instance.heard(now, from, word));
     }
 
+    async fn datagrams(self: Rc<Self>) {
+        let mut bytes = [0; MOST_DATAGRAM + 1];
+        loop {
+            match self.datagrams.recv_from(&mut bytes).await {
+                Ok((count, _)) => {
+                    let now = self.clock.now();
+                    self.with(|instance| instance.datagram(now, &bytes[..count]));
+                }
+                // What a peer that is not there sends back.
+                Err(error) => {
+                    tracing::debug!(%error, "a datagram could not be read");
+                    Timer::after(std::time::Duration::from_millis(1)).await;
+                }
+            }
+        }
+    }
+
+    /// The process ends.
+    pub fn gone(&self) {
+        let now = self.clock.now();
+        self.with(|instance| instance.gone(now));
+    }
+
     async fn store(self: Rc<Self>, stored: async_channel::Receiver<Result<u64, String>>) {
         while let Ok(result) = stored.recv().await {
             let now = self.clock.now();
@@ -222,6 +275,8 @@
         for effect in effects {
             match effect {
                 Effect::Send { to, bytes } => self.links.send(self, to, &bytes),
+                // One that cannot go out at once is lost, as any may be on its way.
+                Effect::Datagram { to, bytes } => drop(self.datagrams.get_ref().send_to(&bytes, to)),
                 Effect::Store(write) => {
                     if let Some(disk) = &self.disk {
                         disk.write(write);
@@ -254,6 +309,14 @@
         Change::Leads(true) => tracing::info!("leads the registry"),
         Change::Leads(false) => tracing::info!("leads the registry no longer"),
         Change::Founded(keepers) => tracing::info!(keepers, "the registry is founded"),
+        Change::Up(member) => {
+            tracing::info!(name = member.name, zone = member.zone, life = member.life, "a member is there")
+        }
+        Change::Down(member) => tracing::warn!(name = member.name, life = member.life, "a member is gone"),
+        Change::Refuted => tracing::warn!("others took this instance for dead; it says otherwise"),
+        Change::Doubled(member) => {
+            tracing::error!(name = member.name, addr = %member.addr, "another process has this instance's name");
+        }
         Change::KeeperBroken => tracing::error!("its keeper is broken and takes part no longer"),
     }
 }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -49,6 +49,7 @@
         .map(|(operator, peers)| fleet::start(operator, peers, clock, executor.clone(), config.seed))
         .transpose()?;
     let fleet = among.as_ref().map(|started| started.fleet.clone());
+    let among_peers = fleet.clone();
     let among = among.map(|started| executor.spawn(started.run()));
     let lines = Lines { news, engine, close };
     let desk = Desk::new(config, decider, clock, executor.clone(), to_desk, room, lines, fleet);
@@ -60,8 +61,11 @@
         .or(kept(reporting))
         .or(kept(among))
         .or(kept(Some(watching)));
-    async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()))
-        .map_err(|_| "a part of the server panicked; it cannot go on".to_string())
+    let ended = async_io::block_on(executor.run(AssertUnwindSafe(all).catch_unwind()));
+    if let Some(fleet) = among_peers {
+        fleet.gone();
+    }
+    ended.map_err(|_| "a part of the server panicked; it cannot go on".to_string())
 }
 
 /// Passes a task's panic on; its end is of no interest.
