--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -74,6 +74,13 @@
         Ok(Node { child, script: path, addr, peers })
     }
 
+    /// What `cottondyke peers` prints of it.
+    pub fn view(&self) -> Option<serde_json::Value> {
+        let peers = self.peers?.to_string();
+        let out = Command::new(program().ok()?).args(["peers", &peers, "--json"]).output().ok()?;
+        serde_json::from_slice(&out.stdout).ok()
+    }
+
     /// Stops the process where it is, or lets it go on.
     pub fn stop(&self, stopped: bool) {
         let signal = if stopped { Signal::STOP } else { Signal::CONT };
