Division runs a few times a lease and not at every asking; a table of fleet sizes

cottondyke-lab sizes stood still at 1,000 members for 300 s: each asking divided anew, and each division looked for every holder in a list. Divisions are 0.003 of a lease apart now, holders in a set.

--- a/crates/budget/src/granter.rs
+++ b/crates/budget/src/granter.rs
@@ -8,7 +8,7 @@
     divide, Ask, Claim, Command, Epoch, Holder, Nonce, Reply, Share, Table, Terms, Told, Want, Whole, DRIFT,
 };
 use cottondyke_decide::types::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Members that are remembered, askings that wait for a confirmation, and commands made at one time.
 const MOST_MEMBERS: usize = 4_096;
@@ -18,6 +18,10 @@
 const AGAIN: f64 = 0.1;
 /// A share is not lowered for less than this part of it: division would wander with every need.
 const STEADY: f64 = 0.125;
+/// Part of a lease between two divisions: what a division costs grows with the members, and so do their askings.
+const ROUND: f64 = 0.003;
+/// The same where nobody asked and nothing was applied.
+const IDLE: f64 = 0.02;
 
 #[derive(Clone, Debug)]
 struct Heard {
@@ -61,6 +65,9 @@
     fenced: BTreeMap<(String, Holder), Time>,
     targets: BTreeMap<String, BTreeMap<Holder, u32>>,
     busy: Option<Time>,
+    /// When it divided last, and whether anything came since that could change it.
+    divided: Time,
+    stirred: bool,
 }
 
 impl Granter {
@@ -76,6 +83,8 @@
             fenced: BTreeMap::new(),
             targets: BTreeMap::new(),
             busy: None,
+            divided: Time(i64::MIN / 4),
+            stirred: true,
         }
     }
 
@@ -103,6 +112,7 @@
                 self.members.entry(former).or_default().over.get_or_insert(now);
             }
         }
+        self.stirred = true;
         let member = self.members.entry(ask.holder.clone()).or_default();
         for want in &ask.wants {
             let told = member.budgets.get(&want.budget).and_then(|heard| heard.told);
@@ -200,7 +210,7 @@
 
     /// Commands were applied: what was proposed may be settled.
     pub fn applied(&mut self, table: &Table) {
-        self.busy = None;
+        (self.busy, self.stirred) = (None, true);
         self.condemned.retain(|(budget, holder), was| {
             let share = table.budgets.get(budget).and_then(|whole| whole.shares.get(holder));
             // A raise may have come in between: then the taking is void.
@@ -265,9 +275,16 @@
         heard.is_some_and(|heard| heard.at >= since && now < heard.at + self.terms.lease)
     }
 
+    /// When `commands` and `news` are due next.
+    pub fn due(&self) -> Time {
+        let part = if self.stirred { ROUND } else { IDLE };
+        self.divided + self.terms.lease.times(part)
+    }
+
     /// What to propose now; `wholes` are the leader's file: name, units, linger.
     pub fn commands(&mut self, now: Time, table: &Table, wholes: &[(String, u32, Time)]) -> Vec<Command> {
         let Some(since) = self.since else { return Vec::new() };
+        (self.divided, self.stirred) = (now, false);
         if self.busy.is_some_and(|at| now < at + self.terms.lease.times(AGAIN)) {
             return Vec::new();
         }
@@ -334,7 +351,8 @@
                 live.push((holder.clone(), Claim { need, weight }));
             }
         }
-        let silent = |holder: &Holder| !live.iter().any(|(other, _)| other == holder);
+        let there: BTreeSet<&Holder> = live.iter().map(|(holder, _)| holder).collect();
+        let silent = |holder: &Holder| !there.contains(holder);
         let kept: u32 = whole.shares.iter().filter(|(h, _)| silent(h)).map(|(_, s)| s.amount).sum();
         let claims: Vec<Claim> = live.iter().map(|(_, claim)| *claim).collect();
         let parts = divide(whole.units.saturating_sub(kept), &claims);
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -281,7 +281,8 @@
         let tick = self.keeping.as_ref().filter(|k| k.begun).map_or(Time::MAX, |k| k.tick);
         let until = if self.live { self.shares.until() } else { Time::MAX };
         let patience = self.waits.map_or(Time::MAX, |at| at + self.setup.terms.lease.times(PATIENCE));
-        tick.min(self.shares.next()).min(until).min(patience).min(self.peers.next())
+        let divide = if self.granter.leads() { self.granter.due() } else { Time::MAX };
+        tick.min(self.shares.next()).min(until).min(patience).min(self.peers.next()).min(divide)
     }
 
     pub fn timer(&mut self, now: Time) -> Vec<Effect> {
@@ -584,8 +585,13 @@
         if !self.granter.leads() {
             return;
         }
+        let due = now >= self.granter.due();
         let Some(keeping) = &mut self.keeping else { return };
-        let commands = self.granter.commands(now, &keeping.keeper.state.0, &self.setup.wholes);
+        let commands = if due {
+            self.granter.commands(now, &keeping.keeper.state.0, &self.setup.wholes)
+        } else {
+            Vec::new()
+        };
         let mut effects = Vec::new();
         for command in commands {
             let bytes = postcard::to_allocvec(&command).unwrap_or_default();
@@ -596,7 +602,7 @@
             effects.extend(keeping.keeper.confirm(number));
         }
         self.carry(now, effects);
-        if let Some(keeping) = self.keeping.as_ref().filter(|_| self.granter.leads()) {
+        if let Some(keeping) = self.keeping.as_ref().filter(|_| due && self.granter.leads()) {
             let news = self.granter.news(&keeping.keeper.state.0);
             self.reply(news);
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 cottondyke-lab - trials of cottondyke among stand-ins that fail by a seeded schedule
 
 usage: cottondyke-lab trial NAME [--seed N] [--without DEFENCE] [--seconds S] [--verbose]
+       cottondyke-lab sizes [--seed N] [--members M]
        cottondyke-lab worlds [--seed N] [--count K] [--members M] [--without DEFENCE] [--verbose]
 
 trials:
@@ -24,6 +25,8 @@
   budgets        8 instances that share a ceiling, links cut and stalled, processes stopped, killed and without their
                  disk; --without lease, fence, linger or need
 
+sizes: quiet simulated worlds of 10, 100 and 1,000 members (M at the most): what they cost, how quick they are
+
 worlds: K simulated worlds (default 100) of 5 to M members (default 100) from seed N on, the sum of units in
   use held against the whole after every step; --without lease, fence, linger or need
 
@@ -79,7 +82,7 @@
     }
     match (command.as_deref(), name) {
         (Some("trial"), Some(name)) => Ok(Some((name, usage))),
-        (Some("worlds"), None) => Ok(Some(("worlds".to_string(), usage))),
+        (Some(simulated @ ("worlds" | "sizes")), None) => Ok(Some((simulated.to_string(), usage))),
         (Some("trial"), None) => Err("trial: which one?".into()),
         (Some(other), _) => Err(format!("unknown command {other:?}").into()),
         (None, _) => Ok(None),
@@ -99,6 +102,7 @@
         }
     };
     let played: std::io::Result<Outcome> = match name.as_str() {
+        "sizes" => world::sizes(&usage),
         "worlds" => world::play(&usage),
         "budgets" => trials::budgets::play(&usage),
         "dependencies" => trials::dependencies::play(&usage),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -35,6 +35,8 @@
     pub defences: Defences,
     /// Parts of messages that are lost, and that come twice, in times of trouble.
     pub loss: f64,
+    /// Whether needs stay as they are.
+    pub still: bool,
 }
 
 impl Rules {
@@ -49,6 +51,7 @@
             end: 30 * S + LEASE + 3 * S + LINGER,
             defences: Defences::default(),
             loss: random.f64() * 0.3,
+            still: false,
         }
     }
 }
@@ -291,7 +294,7 @@
 
     fn look(&mut self, place: usize) {
         // The load is lopsided, and moves, but for the end: what is on its way then is usable nowhere.
-        if self.now < self.rules.end - S - 500 * MS && self.random.f64() < 0.01 {
+        if !self.rules.still && self.now < self.rules.end - S - 500 * MS && self.random.f64() < 0.01 {
             let hot = self.random.f64() < 0.25;
             self.nodes[place].need =
                 if hot { self.random.u32(0..=self.rules.whole) } else { self.random.u32(0..4) };
@@ -492,8 +495,15 @@
 
     /// Plays it to its end; an error is the first promise that was broken.
     pub fn run(mut self) -> Result<Ran, String> {
+        self.advance(self.rules.end)?;
+        self.ended()
+    }
+
+    /// Plays it until then.
+    fn advance(&mut self, until: i64) -> Result<(), String> {
         while let Some(Reverse((at, seq))) = self.queue.pop() {
-            if at > self.rules.end {
+            if at > until {
+                self.queue.push(Reverse((at, seq)));
                 break;
             }
             self.now = at;
@@ -511,6 +521,11 @@
                 ));
             }
         }
+        self.now = self.now.max(until);
+        Ok(())
+    }
+
+    fn ended(self) -> Result<Ran, String> {
         let mut ran = self.ran;
         ran.usable = self.usable.iter().sum::<f64>() / self.usable.len().max(1) as f64;
         let live: Vec<usize> =
@@ -553,6 +568,62 @@
     }
 }
 
+/// What a quiet fleet of a size costs and how quick it is: bytes a second and member, seconds until a dead member is in
+/// no list, seconds until a whole that was spread is at the one member that needs it.
+fn measured(seed: u64, members: usize) -> Result<(f64, f64, f64), String> {
+    let rules = Rules {
+        members,
+        keepers: 3,
+        whole: members as u32 * 2,
+        trouble: 0,
+        end: 100_000 * S,
+        still: true,
+        loss: 0.0,
+        defences: Defences::default(),
+    };
+    let mut world = World::new(seed, rules, false);
+    let settled = 20 * S + members as i64 * S / 50;
+    world.advance(settled)?;
+    let (from, span) = (world.quiet_bytes, 10 * S);
+    world.advance(settled + span)?;
+    let bytes = (world.quiet_bytes - from) as f64 / (span / S) as f64 / members as f64;
+    let (dead, start) = (members - 1, world.now);
+    let name = world.nodes[dead].name.clone();
+    world.nodes[dead].instance = None;
+    let listed = |world: &World| {
+        let lists = world.nodes.iter().filter_map(|n| n.instance.as_ref()).map(Instance::list);
+        lists.flatten().any(|one| one.name == name && one.standing != Standing::Dead)
+    };
+    while listed(&world) && world.now < start + 60 * S {
+        world.advance(world.now + 250 * MS)?;
+    }
+    let death = (world.now - start) as f64 / S as f64;
+    world.advance(world.now + 10 * S)?;
+    let (start, hot) = (world.now, 3);
+    world.nodes[hot].need = rules.whole;
+    let most = f64::from(rules.whole) * 0.7;
+    while f64::from(world.may_use(hot)) < most && world.now < start + 60 * S {
+        world.advance(world.now + 5 * MS)?;
+    }
+    Ok((bytes, death, (world.now - start) as f64 / S as f64))
+}
+
+/// The table of sizes.
+pub fn sizes(usage: &Options) -> std::io::Result<Outcome> {
+    usage.off(&[])?;
+    let mut outcome = Outcome::default();
+    let periods = cottondyke_peers::DEAD_WITHIN as f64 * PROBE as f64 / S as f64;
+    for members in [10, 100, 1_000].into_iter().filter(|members| *members <= usage.members) {
+        let (bytes, death, divided) = measured(usage.seed, members).map_err(std::io::Error::other)?;
+        outcome.at_most("seconds until a dead member is in no list", death, periods);
+        outcome.at_most("seconds until a need that jumped is met", divided, LEASE as f64 / S as f64);
+        outcome.figure(&format!("{members} members: bytes a second and member"), bytes.round());
+        outcome.figure(&format!("{members} members: seconds until a dead one is in no list"), death);
+        outcome.figure(&format!("{members} members: seconds until a need that jumped is met"), divided);
+    }
+    Ok(outcome)
+}
+
 /// Many worlds, from the seed on, on all cores.
 pub fn play(usage: &Options) -> std::io::Result<Outcome> {
     let off = usage.off(&["lease", "fence", "linger", "need"])?;
--- a/crates/registry/tests/keepers.rs
+++ b/crates/registry/tests/keepers.rs
@@ -170,3 +170,42 @@
     assert_eq!(few.confirmed, [(leader, 5)]);
     assert!(!few.keepers[&leader].leads());
 }
+
+/// Guards what a keeper said: all that was written is read again, in order, and a newer layout is refused in words.
+#[test]
+fn the_disk_holds_what_was_written() {
+    use cottondyke_registry::{sqlite::Disk, Write};
+    let folder = std::env::temp_dir().join(format!("cottondyke-registry-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("registry.db");
+    let id = KeeperId(u64::MAX - 5);
+    let entry = |index: u64| (index, vec![index as u8; 3]);
+    let writes = [
+        Write { number: 1, hard: Some(vec![1]), entries: (2..10).map(entry).collect(), ..Write::default() },
+        Write { number: 2, hard: Some(vec![2]), entries: (6..8).map(entry).collect(), ..Write::default() },
+        Write {
+            number: 3,
+            snapshot: Some((4, vec![9; 9])),
+            founders: Some([(id, "a".into())].into()),
+            ..Write::default()
+        },
+    ];
+    let (mut disk, empty) = Disk::open(&path, id).unwrap();
+    assert_eq!(empty, Saved::new(id));
+    let mut expected = Saved::new(id);
+    disk.write(&writes[..2]).unwrap();
+    disk.write(&writes[2..]).unwrap();
+    writes.into_iter().for_each(|write| expected.apply(write));
+    drop(disk);
+    // Another number is offered: the one of the store stays.
+    let (disk, saved) = Disk::open(&path, KeeperId(1)).unwrap();
+    assert_eq!(saved, expected);
+    assert_eq!(saved.entries.keys().copied().collect::<Vec<_>>(), [5, 6, 7]);
+    drop(disk);
+    rusqlite::Connection::open(&path).unwrap().execute_batch("PRAGMA user_version = 9").unwrap();
+    let wrong = Disk::open(&path, id).unwrap_err();
+    assert!(wrong.contains("layout 9 is newer") && wrong.contains("registry.db"), "{wrong}");
+    std::fs::write(&path, [7; 9_000]).unwrap();
+    assert!(Disk::open(&path, id).is_err());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/script/tests/scripts.rs
+++ b/crates/script/tests/scripts.rs
@@ -46,6 +46,8 @@
 dependency("prices", addr = "127.0.0.1:8102", budget = "300ms", ceiling = 24)
 "#;
 
+const PEERS: &str = "peers(name = \"x\", listen = \"127.0.0.1:0\", keepers = {\"a\": \"127.0.0.1:7101\"})";
+
 /// A script whose sixth line is `line`, after which the page is whole.
 fn with(line: &str) -> String {
     format!("{HEAD}{line}\npage(browse, parts = [part(\"catalogue\")])\n")
@@ -128,6 +130,18 @@
         (with("serve(listen = \"nowhere\")"), 6, &["serve: declared twice"]),
         (with("customer(\"c\", per_second = -1)"), 6, &["per_second = -1", "number from 0"]),
         (with("defences(off = [\"limits\"])"), 6, &["\"limits\"", "nearest is \"limit\""]),
+        (with(PEERS), 1, &["instances = 3 beside peers(...) in line 6", "expected one of the two"]),
+        (with("peers(name = \"a\", listen = \"127.0.0.1:0\", keepers = {\"a\": \"127.0.0.1:1\"})"), 6,
+            &["data is missing", "keeper"]),
+        (with("peers(name = \"x\", listen = \"127.0.0.1:0\", keepers = {\"a\": \"127.0.0.1:1\", \"b\": \"127.0.0.1:2\"})"), 6,
+            &["keepers = ", "1, 3 or 5 names"]),
+        (with(&PEERS.replace("127.0.0.1:7101", "nowhere")), 6, &["keepers = ", "\"nowhere\"", "address"]),
+        (with(&PEERS.replace("name = \"x\"", "name = \"x\", lease = \"1ms\"")), 6, &["lease = ", "\"500ms\" to \"10m\""]),
+        (with(&PEERS.replace("name = \"x\"", "name = \"x\", probe = \"1h\"")), 6, &["probe = ", "\"50ms\" to \"1m\""]),
+        (with(&PEERS.replace("name = \"x\"", "name = \"x\", leese = 1")), 6, &["\"leese\"", "nearest is \"lease\""]),
+        (with(&format!("{PEERS}; {PEERS}")), 6, &["peers: declared twice"]),
+        (HEAD.replace("instances = 3", "") + PEERS + "\ncustomer(\"c\", per_second = 5)\n", 7,
+            &["customer \"c\" beside peers(...)"]),
         (with("load(\"../other.star\", \"x\")"), 6, &["../other.star", "own folder"]),
         (with("load(\"/etc/hostname\", \"x\")"), 6, &["own folder"]),
         (with("load(\"missing.star\", \"x\")"), 6, &["missing.star", "No such file"]),
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -108,6 +108,33 @@
 }
 
 /// Guards against waiting for a frame that cannot come: its length is judged from the first four bytes.
+/// Guards links between instances: words come through any split; a length or a tag that no word has ends the link
+/// before anything is kept for it.
+#[test]
+fn words_come_through_any_split() {
+    use cottondyke::wire::peers::{encode, Decoder};
+    let words = [vec![], vec![7; 1], vec![9; 3_000]];
+    let bytes: Vec<u8> = words.iter().flat_map(|word| encode(word)).collect();
+    for cut in [1, 2, 7, 1_000, bytes.len()] {
+        let mut decoder = Decoder::default();
+        let mut heard = Vec::new();
+        for piece in bytes.chunks(cut) {
+            decoder.feed(piece);
+            while let Some(word) = decoder.word().unwrap() {
+                heard.push(word);
+            }
+        }
+        assert_eq!(heard, words, "cut every {cut}");
+    }
+    for bad in
+        [&[0, 0, 0, 4][..], &[255, 0, 0, 0], &[0, 0, 0, 5, 8, 0, 0, 0, 0], &[0, 0, 0, 5, 7, 0, 0, 0, 1]]
+    {
+        let mut decoder = Decoder::default();
+        decoder.feed(bad);
+        assert!(decoder.word().is_err(), "{bad:?}");
+    }
+}
+
 #[test]
 fn a_length_out_of_bounds_is_told_before_the_frame_comes() {
     for (length, fits) in [(4u32, false), (5, true), (262_144, true), (262_145, false), (u32::MAX, false)] {
