--- a/crates/depend/src/plan.rs
+++ b/crates/depend/src/plan.rs
@@ -7,47 +7,6 @@
 /// Kept back of the time left, for composing an answer and sending it.
 pub const RESERVE: Time = Time(100);
 
-/// How long a call counts for a rate from when it was sent: a second, and what the way to the dependency may take longer
-/// for one call than for another.
-pub const RATE_WINDOW: Time = Time(12_500);
-
-/// When a call was sent. From when it is let out until then it counts for a rate all the time: connecting may take long,
-/// and so may a stop of the process.
-#[derive(Debug)]
-pub struct Stamp(Cell<Time>);
-
-impl Default for Stamp {
-    fn default() -> Self {
-        Stamp(Cell::new(Time::MAX))
-    }
-}
-
-impl Stamp {
-    /// Its first byte goes out.
-    pub fn sent(&self, now: Time) {
-        self.0.set(now);
-    }
-
-    /// It ended; one that was never sent counts no longer.
-    pub fn over(&self) {
-        if self.0.get() == Time::MAX {
-            self.0.set(Time(i64::MIN / 4));
-        }
-    }
-
-    /// Until when it counts.
-    pub fn until(&self) -> Time {
-        self.0.get() + RATE_WINDOW
-    }
-}
-
-/// One and the same call.
-impl PartialEq for Stamp {
-    fn eq(&self, other: &Stamp) -> bool {
-        std::ptr::eq(self, other)
-    }
-}
-
 /// A share that was lent and may change or end at any moment. Whoever lends sets it; the gate looks at it again
 /// before each call.
 #[derive(Debug)]
@@ -104,9 +63,6 @@
     pub share: usize,
     /// What bounds the calls within `share`, where the share is lent and not fixed.
     pub lent: Option<Rc<Lent>>,
-    /// Calls a second that this instance may send, and what bounds them within that, where the share is lent.
-    pub rate: Option<usize>,
-    pub lent_rate: Option<Rc<Lent>>,
     /// Calls that the limit never goes under; at most `share`.
     pub floor: usize,
     /// How long a call that was given up may go on at the dependency.
--- a/crates/depend/tests/random.rs
+++ b/crates/depend/tests/random.rs
@@ -18,8 +18,6 @@
         budget: Time(random.i64(50..3_000)),
         share,
         lent: None,
-        rate: None,
-        lent_rate: None,
         floor: random.usize(1..=share),
         linger: Time(random.i64(1..2_000)),
         waiting: random.usize(0..6),
--- a/crates/standin/src/dependency.rs
+++ b/crates/standin/src/dependency.rs
@@ -42,8 +42,6 @@
     /// Calls of a req that had called before.
     pub extra: u64,
     pub good: u64,
-    /// Most calls that came in any second.
-    pub most_a_second: usize,
     /// Seconds that calls were held, added up, by the first four digits of their reqs' ids.
     pub held_s: std::collections::BTreeMap<String, f64>,
     /// Bytes of a req that stands among those seen, with its number of calls.
@@ -65,8 +63,6 @@
 struct State {
     fault: Fault,
     counts: Counts,
-    /// When the calls of the last second came.
-    came: std::collections::VecDeque<Instant>,
     random: fastrand::Rng,
 }
 
@@ -98,7 +94,7 @@
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
         let random = fastrand::Rng::with_seed(shape.seed);
-        let state = State { fault: Fault::None, counts: Counts::default(), came: Default::default(), random };
+        let state = State { fault: Fault::None, counts: Counts::default(), random };
         let inner = Arc::new(Inner {
             shape,
             state: Mutex::new(state),
@@ -210,12 +206,6 @@
         let (fault, held, draw) = {
             let mut state = inner.state();
             let state = &mut *state;
-            let now = Instant::now();
-            state.came.push_back(now);
-            while state.came.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
-                state.came.pop_front();
-            }
-            state.counts.most_a_second = state.counts.most_a_second.max(state.came.len());
             state.counts.calls += 1;
             state.counts.held += 1;
             state.counts.most_held = state.counts.most_held.max(state.counts.held);
