Calls to what all share go under one at a time when they crowd it; their wait is predicted

Each server went on with one call at a time, 329 in all; calls took 670 to 1,000 ms in place of 17, 26 to 200 a second ended well in place of 1,100, and after the trouble ended at 21.9 s it stayed so to the end. 9,088 runs were given up waiting to call after 200 ms of work each, 1,200 ms (part-lookup) and 2,350 ms (member-order) in the queue; at the same time nothing that calls nothing (fitment-check) was started. Lines at fault: Calls::ended (no limit under one call), Calls::open (the mean in hand is looked at as a call begins, so one that hangs passes the share by its whole length), next_to_start (any queue of calls stops all), unwinnable (sees no queue).

Change: where the share is under one call, the limit is a part of the time: it starts at the share, falls by how slow a call was (to a quarter of the share), rises by how fast. A call is given up before the share's time in the window is used up, so that the share holds however long calls take. A held req that calls is predicted to wait behind those before it; what the settings say calls nothing (class_calls, not passed on before) goes past the queue. Beyond this trouble it covers any crowded shared dependency; it may harm where a slow call is no sign of a crowd, by a quarter of the share for as long as that lasts.

--- a/crates/adapter/src/encode.rs
+++ b/crates/adapter/src/encode.rs
@@ -2,6 +2,9 @@
 use cottondyke_decide::types::*;
 use serde_json::{json, Value};
 
+/// The wire takes no shorter one.
+const SHORTEST_IDLE_MS: f64 = 10.0;
+
 fn ms(time: Time) -> f64 {
     time.0 as f64 / 10.0
 }
@@ -40,6 +43,9 @@
     if let Some(level) = results.advice {
         to.push(json!({ "cmd": "HintOut", "who": who, "level": level }));
     }
+    if let Some(time) = results.trim {
+        to.push(json!({ "cmd": "TrimAfter", "who": who, "hold_for_ms": ms(time).max(SHORTEST_IDLE_MS) }));
+    }
     if let Some(time) = results.wake {
         to.push(json!({ "cmd": "WakeMe", "who": who, "delay_ms": ms(time), "key_back": "look" }));
     }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -34,6 +34,8 @@
 const MOST_CALLS: f64 = 4.0; // calls in hand a core
 const SPARE: f64 = 0.8; // part of them, backed off to no less while nearly all end well
 const SKIP_PART: f64 = 0.04; // of the time left to its target, how long a req waits to call before it skips
+const LEAST_CALLS: f64 = 0.25; // least of the share told that is used, where calls crowd what is below
+const LATELY: f64 = 0.25; // of the newest in the time of calls of late
 const STRAINED: f64 = 2.0; // multiple of their cost at which the running reqs show a stall
 const DOUBT: f64 = 4.0; // usual runs that the running ones must outweigh to show it
 const TRIES: u32 = 3; // calls made for one need
@@ -196,6 +198,7 @@
     last: Time,
     work: Vec<[f64; 2]>, // running sums: core time, hinted work
     away: Vec<f64>,
+    calls: Vec<f64>, // calls wanted a run
     strain: f64,
 }
 
@@ -204,7 +207,8 @@
     pub fn new(now: Time, handlers: &[Handler], first: f64) -> Self {
         let base = |h: &Handler| h.response_target.num() * FIRST_COST;
         let work = handlers.iter().map(|h| [base(h) / first.max(FLOOR_PART), base(h)]).collect();
-        Costs { clock: 0.0, last: now, work, away: vec![0.0; handlers.len()], strain: 1.0 }
+        let calls = handlers.iter().map(|h| f64::from(h.calls)).collect();
+        Costs { clock: 0.0, last: now, work, away: vec![0.0; handlers.len()], calls, strain: 1.0 }
     }
 
     fn usual(&self, req: &Req) -> f64 {
@@ -233,6 +237,9 @@
             *sums = [sums[0] * (1.0 - WEIGHT) + spent, sums[1] * (1.0 - WEIGHT) + req.base];
             let away = if ended { req.away.max((now - req.started).num() - spent) } else { req.away };
             self.away[req.handler()] += (away - self.away[req.handler()]) * WEIGHT;
+            if ended {
+                self.calls[req.handler()] += (req.calls - self.calls[req.handler()]) * WEIGHT;
+            }
         }
     }
 }
@@ -240,43 +247,84 @@
 /// Calls to what is below.
 pub struct Calls {
     share: Option<f64>,
+    window: f64,
     linger: Time,
     held: Sums<1>, // calls in hand x time
     lingering: Vec<Time>,
-    limit: f64,
+    limit: f64, // calls in hand; under one, the part of the time in which one is
+    most: f64,
+    rested: Time,
     cores: f64,
-    usual: f64, // usual time of a call
+    usual: f64,  // usual time of a call
+    lately: f64, // the same of late
 }
 
 impl Calls {
     /// `share`: the mean number in hand over `window` that is ours, where told; `linger`: how long an
     /// abandoned call stays.
     pub fn new(share: Option<f64>, window: Time, linger: Time, cores: usize) -> Self {
-        let (held, lingering, cores) = (Ring::new(window), Vec::new(), cores.max(1) as f64);
-        Calls { share, linger, held, lingering, limit: cores * MOST_CALLS, cores, usual: 0.0 }
+        // The ring's oldest bucket is part-used: it spans the window whatever part of it is gone.
+        let held = Ring::new(window.times(SLOTS as f64 / (SLOTS - 1) as f64));
+        let (lingering, cores, window) = (Vec::new(), cores.max(1) as f64, window.num().max(1.0));
+        let most = share.filter(|s| *s < 1.0).unwrap_or(cores * MOST_CALLS);
+        let (limit, rested, usual, lately) = (most, Time(0), 0.0, 0.0);
+        Calls { share, window, linger, held, lingering, limit, most, rested, cores, usual, lately }
+    }
+
+    /// How long one call may be in hand so that the share holds over the window, however long it takes: a
+    /// mean looked at only when a call began was passed by as much as the call then took.
+    fn room(&self, now: Time) -> f64 {
+        let whole = self.share.map_or(f64::MAX, |s| s * GUARD_PART * self.window);
+        whole - self.held.sums(now)[0]
     }
 
     fn open(&self, now: Time, in_hand: usize) -> bool {
         let held = (in_hand + self.lingering.len()) as f64;
-        let mean = self.held.sums(now)[0] / self.held.span();
-        let within = |s: f64| held + 1.0 <= s * GUARD_PART || held == 0.0 && mean < s * GUARD_PART;
-        (in_hand as f64) + 1.0 <= self.limit && self.share.is_none_or(within)
+        let alone = |s: f64| {
+            held == 0.0
+                && self.room(now) >= (self.lately + self.linger.num()).min(s * GUARD_PART * self.window)
+        };
+        let within = |s: f64| held + 1.0 <= s * GUARD_PART || alone(s);
+        let rested = self.limit >= 1.0 || now >= self.rested;
+        (in_hand as f64) + 1.0 <= self.limit.max(1.0) && rested && self.share.is_none_or(within)
+    }
+
+    /// The longest that the next call may take: what its share of the window leaves, where that is under one.
+    fn longest(&self, now: Time) -> Time {
+        let alone = self.share.is_some_and(|s| s * GUARD_PART < 1.0);
+        if alone {
+            Time((self.room(now) - self.linger.num()) as i64)
+        } else {
+            Time::MAX
+        }
+    }
+
+    /// The wait of a call behind so many others.
+    fn wait(&self, now: Time, ahead: f64) -> f64 {
+        (self.rested - now).num().max(0.0) + ahead * self.lately / self.limit
     }
 
     /// What all share would hold a call given up beside the next: that is left for where nearly all end well.
     fn spare(&self) -> bool {
-        self.share.is_none() || self.limit >= self.cores * MOST_CALLS * SPARE
+        self.share.is_none() || self.limit >= self.most * SPARE
     }
 
-    /// Fewer calls when they fail or are slow, more as they end well. What refuses or is shared is probed
-    /// with one call at a time; a tier that does not answer, whose machines fail one by one, with one a core.
-    fn ended(&mut self, time: Time, end: CallEnd) {
-        let well = end == CallEnd::Done && (self.usual == 0.0 || time.num() <= PATIENCE * self.usual);
+    /// Fewer calls when they fail or are slow, more as they end well. What refuses is probed with one call at
+    /// a time; a tier that does not answer, whose machines fail one by one, with one a core. What all share
+    /// is crowded by all together, by one call each if they are many: there the limit goes under one.
+    fn ended(&mut self, now: Time, time: Time, end: CallEnd) {
+        let slow = if self.share.is_some() { STRAINED } else { PATIENCE };
+        let well = end == CallEnd::Done && (self.usual == 0.0 || time.num() <= slow * self.usual);
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
-        let probe = end == CallEnd::NeverRan || self.share.is_some();
-        let least = if probe { 1.0 } else { self.cores.min(self.limit) };
-        let limit = if well { self.limit + 1.0 } else { self.limit * BACK_OFF };
-        self.limit = limit.clamp(least, self.cores * MOST_CALLS);
+        self.lately += (time.num() - self.lately) * if self.lately > 0.0 { LATELY } else { 1.0 };
+        let alone = if end == CallEnd::NeverRan { 1.0 } else { self.cores.min(self.limit) };
+        let least = self.share.map_or(alone, |s| (s * LEAST_CALLS).min(1.0));
+        let room = 1.0 - time.num() / (slow * self.usual).max(1.0);
+        let step = if self.limit < 1.0 { self.limit * room * LATELY } else { 1.0 };
+        let back = if self.limit < 1.0 { slow * self.usual / time.num().max(1.0) } else { BACK_OFF };
+        let limit = if well { self.limit + step } else { self.limit * back.clamp(0.5, BACK_OFF) };
+        self.limit = limit.clamp(least, self.most);
+        self.rested = now + time.times((1.0 / self.limit - 1.0).max(0.0));
     }
 }
 
@@ -406,7 +454,7 @@
         let out = self.pass(now);
         if let Some(req) = self.reqs.get_mut(&id) {
             req.spent = self.costs.spent(req);
-            (req.phase, req.since, req.tries) = (Phase::Wanting, now, 0);
+            (req.phase, req.since, req.tries, req.calls) = (Phase::Wanting, now, 0, req.calls + 1.0);
         }
         self.settle(now, out)
     }
@@ -416,7 +464,7 @@
         if let Some(req) = self.reqs.get_mut(&id).filter(|r| r.phase == Phase::Calling) {
             let time = now - req.since;
             (req.away, req.since) = (req.away + time.num(), now);
-            self.calls.ended(time, end);
+            self.calls.ended(now, time, end);
             if end == CallEnd::Unknown {
                 self.calls.lingering.push(now + self.calls.linger);
             }
@@ -668,7 +716,8 @@
         let early = (again || backed_off) && self.calls.usual > 0.0;
         let lone = if backed_off || self.calls.share.is_none() { 1.0 } else { LONE };
         let patience = if early { Time((self.calls.usual * PATIENCE * lone) as i64) } else { left };
-        out.call.push((id, left.min(patience).max(self.beat.resolution)));
+        let cap = left.min(patience).min(self.calls.longest(now));
+        out.call.push((id, cap.max(self.beat.resolution)));
         if let Some(req) = self.reqs.get_mut(&id) {
             req.away += (now - req.since).num();
             (req.phase, req.since, req.tries) = (Phase::Calling, now, req.tries + 1);
@@ -736,9 +785,14 @@
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
+        let to_call = |r: &Req| (self.costs.calls[r.handler()] - r.calls).max(0.0);
+        let at_call = |r: &Req| f64::from(matches!(r.phase, Phase::Wanting | Phase::Calling));
+        let mut calls: f64 = self.running().filter(|r| !r.answered).map(|r| to_call(r) + at_call(r)).sum();
         let lost = |r: &&&Req| {
-            let own = self.costs.of(r);
-            let finish = now.num() + ahead / cores + own + self.costs.away[r.handler()];
+            let (own, to_call) = (self.costs.of(r), to_call(r));
+            let wait = if to_call > 0.0 { self.calls.wait(now, calls + to_call - 1.0) } else { 0.0 };
+            calls += to_call;
+            let finish = now.num() + (ahead / cores).max(wait) + own + self.costs.away[r.handler()];
             let part = if r.since == now { MARGIN } else { 1.0 };
             ahead += own;
             finish > (r.arrived + (r.target - r.arrived).times(part)).min(self.due_at(r)).num()
@@ -749,11 +803,12 @@
     /// The pool: as many on the cores as keep them busy, within crowd and memory.
     fn next_to_start(&self, now: Time) -> Option<ReqId> {
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
-        let open = self.queued() <= 1.0
-            && on_core + 1.0 <= self.open_size(now)
-            && running + 1.0 <= self.pool.ceiling(now);
+        let open = on_core + 1.0 <= self.open_size(now) && running + 1.0 <= self.pool.ceiling(now);
+        // Runs that would only queue to call stay where they are; what calls nothing goes past them.
+        let (queued, calls) = (self.queued(), |r: &Req| self.hold.handlers[r.handler()].calls);
         let room = self.memory.limit * GUARD_PART - self.memory_used();
-        let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
+        let goes = |r: &Req| queued <= 1.0 || !calls(r);
+        let fits = |r: &&&Req| open && goes(r) && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
     }
 
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -77,6 +77,8 @@
     pub late_value: f64,
     /// How long a uniqued req may come back.
     pub window: Time,
+    /// Whether its runs may call what is below.
+    pub calls: bool,
     /// The part of the value left when a call was skipped; 0 forbids skipping.
     pub skip_value: f64,
 }
@@ -185,6 +187,8 @@
     pub skip: Vec<ReqId>,
     pub health: Option<bool>,
     pub advice: Option<f64>,
+    /// Connections that carried nothing for this long are closed.
+    pub trim: Option<Time>,
     pub wake: Option<Time>,
     /// Rules fired.
     pub passes: usize,
@@ -241,6 +245,8 @@
     pub away: f64,
     /// Calls made for the present need.
     pub tries: u32,
+    /// Calls wanted since the start.
+    pub calls: f64,
 }
 
 impl Req {
@@ -261,6 +267,7 @@
             spent: 0.0,
             away: 0.0,
             tries: 0,
+            calls: 0.0,
         }
     }
 
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -80,6 +80,75 @@
     assert!(world.count(State::Wanting) > 0);
 }
 
+/// Always has a run that wants a call; each takes `time`, or as long as it may. When they began and ended.
+fn calls_one_after_the_other(world: &mut World, time: Time, span: Time) -> Vec<(Time, Time)> {
+    let (end, mut spans) = (world.now + span, Vec::new());
+    while world.now < end {
+        if world.count(State::Calling) + world.count(State::Wanting) == 0 {
+            let id = world.arrive(0, Time(0), TIMEOUT, None);
+            if world.reqs[&id].state == State::OnCore {
+                world.want_call(id);
+            }
+        }
+        let Some(id) = world.ids(State::Calling).first().copied() else {
+            world.pass(Time(100));
+            continue;
+        };
+        let (cap, began) = (*world.caps.last().unwrap(), world.now);
+        world.pass(time.min(cap));
+        if world.reqs[&id].state == State::Calling {
+            world.end_call(id, if time < cap { CallEnd::Done } else { CallEnd::Unknown });
+        }
+        spans.push((began, world.now));
+        world.ids(State::OnCore).into_iter().for_each(|id| world.end(id, RunEnd::Done));
+    }
+    spans
+}
+
+#[test]
+fn calls_that_hang_stay_within_a_share_under_one() {
+    // The mean in hand was looked at as a call began; calls that then hung took it to three times the share,
+    // and only that callers obeyed and calls were cut early kept what all share from falling.
+    let (share, linger) = (0.4, Time(2000));
+    let mut world = World::new(Set { share: Some(share), ..PLAIN });
+    let spans = calls_one_after_the_other(&mut world, TIMEOUT, TARGET.times(12.0));
+    let held = |from: Time| {
+        let part = |(began, ended): &(Time, Time)| {
+            ((*ended + linger).min(from + TARGET) - (*began).max(from)).num().max(0.0)
+        };
+        spans.iter().map(part).sum::<f64>()
+    };
+    let most = spans.iter().map(|(began, _)| held(*began)).fold(0.0, f64::max);
+    assert!(spans.len() > 3 && most <= share * TARGET.num(), "{most} in hand over the window: {spans:?}");
+}
+
+#[test]
+fn calls_that_crowd_what_all_share_leave_it_time() {
+    // Three hundred servers with one call each were ten times what the shared database had slots for; its
+    // calls took forty times their time and ten in eleven were given up, long after the trouble had ended.
+    let mut world = World::new(Set { share: Some(0.8), ..PLAIN });
+    calls_one_after_the_other(&mut world, Time(100), TARGET.times(3.0));
+    let slow = calls_one_after_the_other(&mut world, Time(2500), TARGET.times(6.0));
+    let late = &slow[slow.len() / 2..];
+    let in_hand: f64 = late.iter().map(|(began, ended)| (*ended - *began).num()).sum();
+    let part = in_hand / (world.now - late[0].0).num();
+    assert!((0.1..0.35).contains(&part), "{part} of the time with a call in hand: {slow:?}");
+}
+
+#[test]
+fn runs_that_call_nothing_go_past_a_queue_of_calls() {
+    // While calls queued nothing started, not even what never calls.
+    let mut world = World::new(Set { share: Some(0.8), idle_handler: true, ..PLAIN });
+    for _ in 0..4 {
+        world.arrive(0, Time(0), TIMEOUT, None);
+        world.ids(State::OnCore).into_iter().for_each(|id| world.want_call(id));
+    }
+    assert!(world.count(State::Wanting) > 0);
+    let [calls, none] = [0, 2].map(|kind| world.arrive(kind, Time(0), TIMEOUT, None));
+    assert_ne!(world.reqs[&calls].state, State::OnCore);
+    assert_eq!(world.reqs[&none].state, State::OnCore);
+}
+
 #[test]
 fn a_call_is_given_up_early_where_another_may_end_well() {
     // Machines that were cut off, and single calls that were never answered, took the whole time that a req had
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -88,6 +88,7 @@
         value: number(class, "credit")?,
         late_value: maybe_number(class, "late_value")?.unwrap_or(0.0),
         window: span(class, "dedup_window_ms")?,
+        calls: list(info, "class_calls").get(place).and_then(Value::as_bool).unwrap_or(true),
         skip_value: list(info, "class_skip_worth").get(place).and_then(Value::as_f64).unwrap_or(0.0),
     })
 }
