Idle connections stay as long as pays by the gaps seen between a caller's reqs

Change: Callers keeps the gaps between reqs of one caller (ten bins, ring buckets) and closes idle connections after the time that would have cost least over the gaps seen, where a new connection costs as much as 0.15 of the idle time of a kept one: the ski-rental rule with what is measured. Who was not heard before counts with the mean gap of all callers told. Credit's count of callers moved in, one table. Acts only where callers say who they are; connections of callers that do not stay.

Test connections_stay_as_long_as_pays_by_the_gaps_seen; the old code keeps all.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -47,6 +47,10 @@
 const HEARD_PART: f64 = 4.0; // callers remembered, times those told at start: the table's bound
 const HEARD_LEAST: f64 = 4096.0; // the least bound of that table, where few or none are told
 
+const GAPS: usize = 10; // bins of the gaps between a caller's reqs, each twice as wide as the one before
+const MID_BIN: f64 = 0.75; // of a bin's edge, its middle
+const DEAR_PART: f64 = 0.15; // of the time callers leave connections idle, for which a kept one costs a new one
+
 type Sums<const K: usize> = Ring<K, SLOTS>;
 
 /// What reqs are worth, from the goal's weights and what was won lately.
@@ -337,36 +341,80 @@
     said: Option<f64>,
     load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
     least: f64,    // time that reading takes by itself
-    heard: BTreeMap<CallerId, Time>, // callers heard within the time that advice is heeded, and when
 }
 
 impl Advice {
     pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, seed: u64) -> Self {
         let (load, chance, said, least) = (Ring::new(heeded), Chance::new(seed), None, f64::MAX);
-        Advice { reading, callers, longest_pause: pauses, chance, said, load, least, heard: BTreeMap::new() }
+        Advice { reading, callers, longest_pause: pauses, chance, said, load, least }
+    }
+}
+
+/// Who sends here, and how long idle connections stay.
+pub struct Callers {
+    told: f64,
+    heeded: Time, // how long advice is
+    idle: Time,   // how long callers leave connections idle
+    born: Time,
+    heard: BTreeMap<CallerId, Time>,
+    gaps: Sums<GAPS>, // between reqs of one caller
+    lately: usize,    // callers heard within the time that advice is heeded
+    keep: Time,
+}
+
+impl Callers {
+    pub fn new(now: Time, told: f64, heeded: Time, idle: Time) -> Self {
+        let (heard, gaps) = (BTreeMap::new(), Ring::new(idle.times(2.0)));
+        Callers { told, heeded, idle, born: now, heard, gaps, lately: 0, keep: idle }
     }
 
-    /// Only where credit is read. Bounded: past its bound a new caller is not remembered, and the count stays
-    /// there; on sockets none are told beside callers heard, which held the count at four.
+    /// The longest gap in a bin; those of the last are longer than any connection stays.
+    fn edge(&self, bin: usize) -> Time {
+        Time(self.idle.0 >> (GAPS - 2).saturating_sub(bin))
+    }
+
+    /// Bounded: past its bound a new caller is not remembered, and the count stays there; on sockets none are
+    /// told beside callers heard, which held it at four. The gap of one not heard before is the mean of all
+    /// that were told.
     fn hear(&mut self, now: Time, caller: Option<CallerId>) {
-        let room = self.heard.len() as f64 + 1.0 <= (self.callers * HEARD_PART).max(HEARD_LEAST);
-        let credit = self.reading == Reading::Credit;
-        if let Some(caller) = caller.filter(|c| credit && (room || self.heard.contains_key(c))) {
-            self.heard.insert(caller, now);
-        }
+        let room = self.heard.len() as f64 + 1.0 <= (self.told * HEARD_PART).max(HEARD_LEAST);
+        let Some(caller) = caller.filter(|c| room || self.heard.contains_key(c)) else { return };
+        let mean = (now - self.born).times(self.told / (self.gaps.sums(now).iter().sum::<f64>() + 1.0));
+        let before = self.heard.insert(caller, now);
+        self.lately += usize::from(before.is_none_or(|at| at <= now - self.heeded));
+        let gap = before.map_or(mean, |at| now - at);
+        let bin = (0..GAPS - 1).find(|bin| gap <= self.edge(*bin)).unwrap_or(GAPS - 1);
+        self.gaps.add(now, bin, 1.0);
     }
 
     /// Departure: credit is for the callers that send here, where they say who they are. A front of many
     /// callers that each come seldom (manila-main) was told a thousandth of a req each: stay away.
-    fn senders(&mut self, now: Time) -> f64 {
-        let since = now - Time(self.load.span() as i64);
-        self.heard.retain(|_, at| *at > since);
+    fn senders(&self) -> f64 {
         if self.heard.is_empty() {
-            self.callers
+            self.told.max(1.0)
         } else {
-            self.heard.len() as f64
+            self.lately.max(1) as f64
         }
     }
+
+    /// Departure: an idle connection stays as long as pays by the gaps seen: until its caller comes back, or
+    /// until it has cost what a new one costs. Covers any front of many callers that come back late: its idle
+    /// connections filled the table, which takes of the cores and turns callers away (finder-ro). Harms where
+    /// gaps grow soon after they were learned, by a new connection for each req until they are learned anew.
+    fn look(&mut self, now: Time) -> Option<Time> {
+        let longest = self.idle.max(self.heeded);
+        self.heard.retain(|_, at| *at > now - longest);
+        self.lately = self.heard.values().filter(|at| **at > now - self.heeded).count();
+        let (gaps, dear) = (self.gaps.sums(now), self.idle.num() * DEAR_PART);
+        let cost = |keep: usize| {
+            let stays = |bin: usize| self.edge(bin).num() * MID_BIN;
+            let of = |bin: usize| if bin <= keep { stays(bin) } else { self.edge(keep).num() + dear };
+            gaps.iter().enumerate().map(|(bin, count)| count * of(bin)).sum::<f64>()
+        };
+        let best = (0..GAPS - 1).rev().min_by(|a, b| cost(*a).total_cmp(&cost(*b))).unwrap_or(GAPS - 2);
+        let keep = self.edge(best);
+        (keep != std::mem::replace(&mut self.keep, keep)).then_some(keep)
+    }
 }
 
 pub struct Decider {
@@ -382,6 +430,7 @@
     grace: Time,                 // after the notice to leave, in which arrivals may still run
     left: Option<(Time, Time)>,  // notice, stop
     advice: Advice,
+    callers: Callers,
 }
 
 type Condition = fn(&Decider, Time) -> Option<ReqId>;
@@ -407,10 +456,24 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         resolution: Time, hold: Hold, pool: Pool, limits: Threshold, costs: Costs, memory: Memory,
-        calls: Calls, grace: Time, advice: Advice,
+        calls: Calls, grace: Time, advice: Advice, callers: Callers,
     ) -> Self {
         let (beat, reqs, keys) = (Beat::new(resolution), BTreeMap::new(), BTreeMap::new());
-        Decider { beat, reqs, hold, pool, limits, costs, memory, calls, keys, grace, left: None, advice }
+        Decider {
+            beat,
+            reqs,
+            hold,
+            pool,
+            limits,
+            costs,
+            memory,
+            calls,
+            keys,
+            grace,
+            left: None,
+            advice,
+            callers,
+        }
     }
 
     pub fn arrival(&mut self, now: Time, new: Arrival) -> Results {
@@ -421,7 +484,7 @@
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
-        self.advice.hear(now, new.caller);
+        self.callers.hear(now, new.caller);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num());
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
@@ -509,6 +572,7 @@
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
             self.pool.learn(now, gauges.busy, waiting, on_core, self.hold.shortest);
+            out.trim = self.callers.look(now);
             let again = self.running().filter(|r| r.answered && r.phase == Phase::OnCore).map(|r| r.new.id);
             out.stop = again.filter(|id| self.stoppable(*id)).collect();
         }
@@ -638,7 +702,7 @@
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
-            Reading::Credit => wanted * self.pool.size / self.advice.senders(now).max(1.0),
+            Reading::Credit => wanted * self.pool.size / self.callers.senders(),
             Reading::Rank => 1.0 - wanted,
         };
         if self.advice.said.is_none_or(|said| (said - level).abs() > ADVICE_STEP * level.max(said)) {
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -332,6 +332,7 @@
                 Calls::new(Some(scale), span, span, scale.min(1e3) as usize),
                 span,
                 Advice::new(reading, scale, span, span, u64::MAX),
+                Callers::new(none, scale, span, span),
             );
             let mut all = vec![decider.wake(none, Gauges::default())];
             for id in 0..40 {
@@ -448,3 +449,26 @@
         assert!(world.shed.iter().all(|s| s.pause > Time(0)), "{reading:?}: {:?}", world.shed);
     }
 }
+
+#[test]
+fn connections_stay_as_long_as_pays_by_the_gaps_seen() {
+    // A thousand callers that each came seldom filled the table with idle connections, which took a third of
+    // the cores and turned callers away; closing them all at once cost fronts whose callers come back soon.
+    for (told, named, gap, least, most) in
+        [(1000.0, 1000, 1500, 0, 1000), (4.0, 4, 1500, 10_000, IDLE.0), (1000.0, 4, 1500, 5000, IDLE.0)]
+    {
+        let mut world = World::new(Set { callers: told, ..PLAIN });
+        for turn in 0..120 {
+            world.caller = Some(CallerId(turn % named));
+            let id = world.arrive(0, Time(0), TIMEOUT, None);
+            world.pass(Time(gap));
+            world.end(id, RunEnd::Done);
+        }
+        assert!((least..=most).contains(&world.trim.0), "{named} of {told} callers: {:?}", world.trim);
+    }
+    // Callers that do not say who they are: nothing is known, and all stay.
+    let mut world = World::new(Set { callers: 1000.0, ..PLAIN });
+    arrive(&mut world, 60, Time(0));
+    world.pass(Time(20_000));
+    assert_eq!(world.trim, IDLE);
+}
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -63,6 +63,7 @@
 pub const PER_KEY: f64 = 5.0;
 pub const TARGET: Time = Time(10_000);
 pub const TIMEOUT: Time = Time(30_000);
+pub const IDLE: Time = Time(80_000);
 
 pub struct World {
     pub now: Time,
@@ -77,6 +78,8 @@
     pub most_passes: usize,
     pub advice: f64,
     pub caps: Vec<Time>,
+    /// How long idle connections stay.
+    pub trim: Time,
     /// Whose reqs arrive; else each customer's in turn.
     pub customer: Option<usize>,
     /// Who sends them, where told.
@@ -115,6 +118,7 @@
             Calls::new(set.share, TARGET, Time(2000), CORES),
             GRACE,
             Advice::new(set.reading, set.callers, TARGET, TARGET, 7),
+            Callers::new(now, set.callers, TARGET, IDLE),
         );
         let (reqs, keys, wakes, shed) = (BTreeMap::new(), BTreeMap::new(), vec![], vec![]);
         let (left, frozen, most_passes, advice, caps, next) = (None, false, 0, 1.0, vec![], 1);
@@ -131,6 +135,7 @@
             most_passes,
             advice,
             caps,
+            trim: IDLE,
             customer: None,
             caller: None,
             next,
@@ -318,6 +323,7 @@
             noted.state = State::OnCore;
         }
         self.advice = results.advice.unwrap_or(self.advice);
+        self.trim = results.trim.unwrap_or(self.trim);
         self.wakes.extend(results.wake.map(|span| self.now + span));
         self.check();
         for id in ended {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -148,5 +148,6 @@
         Calls::new(share, span(info, "calls_over_ms")?, span(info, "linger_ms")?, cores),
         span(rules, "drain_grace_ms")?,
         Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?, seed),
+        Callers::new(now, callers, span(info, "heeded_ms")?, span(info, "idle_ms")?),
     ))
 }
