--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -151,7 +151,8 @@
     fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize, target: Time) {
         self.busy = busy.unwrap_or(on_core as f64 / self.cores);
         self.filled = if waiting && on_core as f64 > self.size - 1.0 { self.filled } else { now };
-        let grow = if now - self.filled >= target.times(LOOK_BACK) { POOL_STEP } else { 0.0 };
+        let idle = POOL_STEP * FULL_USE / self.busy.max(FLOOR_PART);
+        let grow = if now - self.filled >= target.times(LOOK_BACK) { idle } else { 0.0 };
         let step = if self.busy > FULL_USE { -POOL_STEP } else { grow };
         self.size = (self.size + step).min(self.ceiling(now)).max(self.cores);
     }
@@ -732,7 +733,7 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.cores).max(self.queued());
+        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.size).max(self.queued());
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
