--- a/crates/adapter/src/decode.rs
+++ b/crates/adapter/src/decode.rs
@@ -73,5 +73,5 @@
 pub fn gauges(event: &Value, places: &Places) -> Result<Gauges, Wrong> {
     let row = event.get("usage").and_then(Value::as_array).ok_or("usage is missing or not a row")?;
     let at = |place: Option<usize>| row.get(place?).and_then(Value::as_f64);
-    Ok(Gauges { busy: at(places.busy) })
+    Ok(Gauges { busy: at(places.busy), runnable: at(places.runnable) })
 }
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -25,6 +25,7 @@
 const FULL: f64 = 0.6; // work in hand a core at which no more is wanted, likewise
 const LEAST_ADVICE: f64 = 0.25; // least share of traffic asked for, so that callers still hear from us
 const CROWD_PART: f64 = 0.85; // part of the crowd ceiling that is used
+const SPREAD: f64 = 2.0; // multiple of it that may run where a gauge tells how many are on the cores
 const GUARD_PART: f64 = 0.9; // part of the memory and of the told share of calls that is used
 const FIRST_COST: f64 = 0.125; // cost of a req before any is known, part of its response target
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
@@ -125,8 +126,9 @@
     warm: Time, // when it is warm at the latest
     born: Time,
     size: f64,
-    busy: f64,    // part of the cores in use
-    filled: Time, // since when all of it runs and reqs wait
+    busy: f64,         // part of the cores in use
+    filled: Time,      // since when all of it runs and reqs wait
+    seen: Option<f64>, // what the cores' gauge counted on them, and starts since
 }
 
 impl Pool {
@@ -134,7 +136,7 @@
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
         let (size, busy) = (cores, 0.0);
-        Pool { cores, factor, first, warm, born: now, size, busy, filled: now }
+        Pool { cores, factor, first, warm, born: now, size, busy, filled: now, seen: None }
     }
 
     /// The part of its full speed that a cold server has surely reached.
@@ -147,15 +149,22 @@
         self.cores * (1.0 + (self.factor - 1.0) * self.warmth(now)) * CROWD_PART
     }
 
+    /// Where the cores are seen, runs at the disk leave room beside the ceiling for some that can be stopped.
+    fn most(&self, now: Time) -> f64 {
+        let open = self.seen.is_some_and(|seen| seen + 1.0 <= self.ceiling(now));
+        self.ceiling(now) * if open { SPREAD } else { 1.0 }
+    }
+
     /// The pool is the smallest that keeps the cores busy: more only slow each other. It grows after it was
     /// full for longer than the gauge looks back: idle cores then show waits on disk, not runs just started.
-    fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize, target: Time) {
-        self.busy = busy.unwrap_or(on_core as f64 / self.cores);
+    fn learn(&mut self, now: Time, gauges: Gauges, waiting: bool, on_core: usize, target: Time) {
+        self.busy = gauges.busy.unwrap_or(on_core as f64 / self.cores);
+        self.seen = gauges.runnable;
         self.filled = if waiting && on_core as f64 > self.size - 1.0 { self.filled } else { now };
         let idle = POOL_STEP * FULL_USE / self.busy.max(FLOOR_PART);
         let grow = if now - self.filled >= target.times(LOOK_BACK) { idle } else { 0.0 };
         let step = if self.busy > FULL_USE { -POOL_STEP } else { grow };
-        self.size = (self.size + step).min(self.ceiling(now)).max(self.cores);
+        self.size = (self.size + step).min(self.most(now)).max(self.cores);
     }
 }
 
@@ -479,7 +488,7 @@
         if now >= self.beat.next_look {
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
-            self.pool.learn(now, gauges.busy, waiting, on_core, self.hold.shortest);
+            self.pool.learn(now, gauges, waiting, on_core, self.hold.shortest);
             let again = self.running().filter(|r| r.answered && r.phase == Phase::OnCore).map(|r| r.new.id);
             out.stop = again.filter(|id| self.stoppable(*id)).collect();
         }
@@ -664,6 +673,7 @@
     fn start(&mut self, now: Time, id: ReqId, out: &mut Results) {
         if let Some(req) = self.reqs.get_mut(&id) {
             (req.phase, req.started, req.since, req.clock) = (Phase::OnCore, now, now, self.costs.clock);
+            self.pool.seen = self.pool.seen.map(|seen| seen + 1.0);
             out.start.push(id);
         }
     }
@@ -720,7 +730,9 @@
 
     /// The crowd on the cores stays under what the server survives, cold or warm.
     fn crowding(&self, now: Time) -> Option<ReqId> {
-        self.youngest().filter(|_| self.on_core() as f64 > self.pool.ceiling(now))
+        let on_core = self.on_core() as f64;
+        let crowd = self.pool.seen.map_or(on_core, |seen| seen.min(on_core));
+        self.youngest().filter(|_| crowd > self.pool.ceiling(now))
     }
 
     /// Held and running reqs and keys stay within the memory: the last in the order goes first.
@@ -770,9 +782,13 @@
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
         let open = self.queued() <= 1.0
             && on_core + 1.0 <= self.open_size(now)
-            && running + 1.0 <= self.pool.ceiling(now);
+            && running + 1.0 <= self.pool.most(now);
+        let firm = self.running().filter(|r| !self.stoppable(r.new.id)).count() as f64;
+        let firm = firm + 1.0 > self.pool.ceiling(now);
         let room = self.memory.limit * GUARD_PART - self.memory_used();
-        let fits = |r: &&&Req| open && r.new.kb * (self.memory.blowup - 1.0) <= room;
+        let fits = |r: &&&Req| {
+            open && !(firm && !self.stoppable(r.new.id)) && r.new.kb * (self.memory.blowup - 1.0) <= room
+        };
         self.order(now).iter().find(fits).map(|r| r.new.id)
     }
 
--- a/crates/decide/src/types.rs
+++ b/crates/decide/src/types.rs
@@ -158,6 +158,8 @@
 pub struct Gauges {
     /// The part of the cores in use.
     pub busy: Option<f64>,
+    /// How many want a core now, runs and all else.
+    pub runnable: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -286,7 +286,7 @@
                 all.push(decider.call_wanted(Time(id.0 as i64 * 5), id));
             }
             for at in [late, late + span, late + span + TIMEOUT] {
-                all.push(decider.wake(at, Gauges { busy: Some(scale) }));
+                all.push(decider.wake(at, Gauges { busy: Some(scale), runnable: None }));
             }
             let answers = all.iter().map(|r| r.shed.len() + r.fail.len()).sum::<usize>();
             assert_eq!(answers, 40, "scale {scale}, {reading:?}");
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -222,7 +222,7 @@
     }
 
     pub fn wake(&mut self, busy: f64) {
-        let gauges = Gauges { busy: Some(busy) };
+        let gauges = Gauges { busy: Some(busy), runnable: None };
         let results = self.decider.wake(self.now, gauges);
         self.apply(results);
     }
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -213,7 +213,7 @@
                 Some(false) => self.wake(now, Gauges::default()),
                 None => {
                     let busy = self.cpu.read();
-                    self.wake(now, Gauges { busy });
+                    self.wake(now, Gauges { busy, runnable: None });
                 }
             }
         }
@@ -499,7 +499,7 @@
             Event::CallEnded(id, end) => return Some(self.decider.call_ended(now, id, end)),
             Event::Gauges(busy) => {
                 self.asked = None;
-                return Some(self.decider.wake(now, Gauges { busy }));
+                return Some(self.decider.wake(now, Gauges { busy, runnable: None }));
             }
             Event::Lives(id) => {
                 if let Some(entry) = self.reqs.get(&id) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -48,6 +48,7 @@
     pub handlers: Vec<String>,
     pub customers: Vec<String>,
     pub busy: Option<usize>,
+    pub runnable: Option<usize>,
 }
 
 pub fn places(conf: &Value) -> Places {
@@ -57,7 +58,8 @@
         let name = |v: &Value| v.get("name").and_then(Value::as_str).unwrap_or_default().to_string();
         list(conf, key).iter().map(name).collect()
     };
-    Places { handlers: named("classes"), customers: named("customers"), busy: place("cpu_busy") }
+    let (busy, runnable) = (place("cpu_busy"), place("runnable"));
+    Places { handlers: named("classes"), customers: named("customers"), busy, runnable }
 }
 
 fn kind(class: &Value) -> Result<Kind, Wrong> {
