--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -12,7 +12,6 @@
 const ALPHA: f64 = 4.0; // bend of the threshold between the two
 const FLOOR_QUANTILE: f64 = 0.99; // of a handler's run times: the threshold's lower bound
 const RUNS_SPAN: f64 = 4.0; // time over which run times count, times the client timeout
-const HABIT: f64 = 0.05; // part of a handler's reqs whose equal waits are a habit of callers, not what is left
 const SHARE_SPAN: f64 = 2.0; // time over which customers' shares count, times the longest client timeout
 const FLOOR_PART: f64 = 0.1; // least lower bound, part of the upper one
 const TICK_PART: f64 = 0.06; // time between looks at the gauges, part of the shortest response target
@@ -171,31 +170,15 @@
 /// SERT's threshold between a learned floor and the client timeout.
 pub struct Threshold {
     halting: Halting,
-    loss: Sums<3>,                  // arrived, refused, terminated
-    runs: Vec<(Time, Sums<BINS>)>,  // client timeout, run times as parts of it
-    waits: Vec<(Time, Sums<BINS>)>, // the same for the waits told
+    loss: Sums<3>,                 // arrived, refused, terminated
+    runs: Vec<(Time, Sums<BINS>)>, // client timeout, run times as parts of it
 }
 
 impl Threshold {
     pub fn new(interval: Time, halting: Halting, handlers: &[Handler]) -> Self {
         let ring = |h: &Handler| (h.client_timeout, Ring::new(h.client_timeout.times(RUNS_SPAN)));
-        let rings = || handlers.iter().map(ring).collect();
-        Threshold { halting, loss: Ring::new(interval), runs: rings(), waits: rings() }
-    }
-
-    /// How old a req was when it came. A wait that many reqs name is how long their callers bear with one
-    /// try; any other is what was left of the client timeout, and tells when the first try began.
-    fn age(&mut self, now: Time, new: &Arrival) -> Time {
-        let (upper, waits) = &mut self.waits[new.handler.0];
-        let Some(wait) = new.wait.map(|w| w + new.lay).filter(|w| *w < *upper) else { return Time(0) };
-        let bin = (wait.num() / upper.num() * BINS as f64) as usize;
-        waits.add(now, bin, 1.0);
-        let sums = waits.sums(now);
-        if sums[bin] > HABIT * sums.iter().sum::<f64>() {
-            Time(0)
-        } else {
-            *upper - wait
-        }
+        let runs = handlers.iter().map(ring).collect();
+        Threshold { halting, loss: Ring::new(interval), runs }
     }
 
     fn count_run(&mut self, now: Time, handler: usize, time: Time) {
@@ -396,8 +379,7 @@
         let mut out = self.pass(now);
         let Some(handler) = self.hold.handlers.get(new.handler.0).copied() else { return out };
         let base = new.hint.map_or(handler.response_target.num() * FIRST_COST, |h| h.num().max(1.0));
-        let mut req = Req::new(new, now, base, &handler);
-        req.target = req.target - self.limits.age(now, &new);
+        let req = Req::new(new, now, base, &handler);
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
