--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -24,6 +24,7 @@
 const FULL: f64 = 0.6; // work in hand a core at which no more is wanted, likewise
 const LEAST_ADVICE: f64 = 0.25; // least share of traffic asked for, so that callers still hear from us
 const CROWD_PART: f64 = 0.85; // part of the crowd ceiling that is used
+const SPREAD: f64 = 2.0; // multiple of it that may run where a gauge tells how many are on the cores
 const GUARD_PART: f64 = 0.9; // part of the memory and of the told share of calls that is used
 const FIRST_COST: f64 = 0.125; // cost of a req before any is known, part of its response target
 const LEAST_LEFT: f64 = 0.25; // of a req's cost, what a run that has had more is still taken to need
@@ -130,8 +131,9 @@
     warm: Time, // when it is warm at the latest
     born: Time,
     size: f64,
-    busy: f64,    // part of the cores in use
-    filled: Time, // since when all of it runs and reqs wait
+    busy: f64,         // part of the cores in use
+    filled: Time,      // since when all of it runs and reqs wait
+    seen: Option<f64>, // what the cores' gauge counted on them, and starts since
 }
 
 impl Pool {
@@ -139,7 +141,7 @@
     pub fn new(now: Time, cores: usize, factor: f64, first: f64, warm: Time) -> Self {
         let cores = cores.max(1) as f64;
         let (size, busy) = (cores, 0.0);
-        Pool { cores, factor, first, warm, born: now, size, busy, filled: now }
+        Pool { cores, factor, first, warm, born: now, size, busy, filled: now, seen: None }
     }
 
     /// The part of its full speed that a cold server has surely reached.
@@ -152,14 +154,23 @@
         self.cores * (1.0 + (self.factor - 1.0) * self.warmth(now)) * CROWD_PART
     }
 
+    /// Departure: where a gauge counts what is on the cores, runs at the disk leave room past the ceiling for
+    /// others that can be stopped; with 1,080 ms at the disk it held fast cores half idle (manila-main).
+    fn most(&self, now: Time) -> f64 {
+        let open = self.seen.is_some_and(|seen| seen + 1.0 <= self.ceiling(now));
+        self.ceiling(now) * if open { SPREAD } else { 1.0 }
+    }
+
     /// The pool is the smallest that keeps the cores busy: more only slow each other. It grows after it was
     /// full for longer than the gauge looks back: idle cores then show waits on disk, not runs just started.
-    fn learn(&mut self, now: Time, busy: Option<f64>, waiting: bool, on_core: usize, target: Time) {
-        self.busy = busy.unwrap_or(on_core as f64 / self.cores);
+    fn learn(&mut self, now: Time, gauges: Gauges, waiting: bool, on_core: usize, target: Time) {
+        self.busy = gauges.busy.unwrap_or(on_core as f64 / self.cores);
+        self.seen = gauges.runnable;
         self.filled = if waiting && on_core as f64 > self.size - 1.0 { self.filled } else { now };
-        let grow = if now - self.filled >= target.times(LOOK_BACK) { POOL_STEP } else { 0.0 };
+        let idle = POOL_STEP * FULL_USE / self.busy.max(FLOOR_PART);
+        let grow = if now - self.filled >= target.times(LOOK_BACK) { idle } else { 0.0 };
         let step = if self.busy > FULL_USE { -POOL_STEP } else { grow };
-        self.size = (self.size + step).min(self.ceiling(now)).max(self.cores);
+        self.size = (self.size + step).min(self.most(now)).max(self.cores);
     }
 }
 
@@ -571,7 +582,7 @@
         if now >= self.beat.next_look {
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
-            self.pool.learn(now, gauges.busy, waiting, on_core, self.hold.shortest);
+            self.pool.learn(now, gauges, waiting, on_core, self.hold.shortest);
             out.trim = self.callers.look(now);
             let again = self.running().filter(|r| r.answered && r.phase == Phase::OnCore).map(|r| r.new.id);
             out.stop = again.filter(|id| self.stoppable(*id)).collect();
@@ -757,6 +768,7 @@
     fn start(&mut self, now: Time, id: ReqId, out: &mut Results) {
         if let Some(req) = self.reqs.get_mut(&id) {
             (req.phase, req.started, req.since, req.clock) = (Phase::OnCore, now, now, self.costs.clock);
+            self.pool.seen = self.pool.seen.map(|seen| seen + 1.0);
             out.start.push(id);
         }
     }
@@ -812,9 +824,13 @@
         live.filter(|r| self.stoppable(r.new.id)).find(overdue).map(|r| r.new.id)
     }
 
-    /// The crowd on the cores stays under what the server survives, cold or warm.
+    /// The crowd on the cores stays under what the server survives, cold or warm: seen past it, all that can
+    /// be stopped goes until no more run than that.
     fn crowding(&self, now: Time) -> Option<ReqId> {
-        self.youngest().filter(|_| self.on_core() as f64 > self.pool.ceiling(now))
+        let stays = |r: &&Req| r.phase == Phase::OnCore && !(r.answered && self.stoppable(r.new.id));
+        let stay = self.running().filter(stays).count() as f64;
+        let crowd = self.pool.seen.map_or(stay, |seen| seen.min(stay));
+        self.youngest().filter(|_| crowd > self.pool.ceiling(now))
     }
 
     /// Held and running reqs and keys stay within the memory: the last in the order goes first.
@@ -845,7 +861,7 @@
     /// Predictive intake, looked at again after every input: with the cores in use, a held req that will not
     /// finish within its response target behind those before it is turned away while others may take it.
     fn unwinnable(&self, now: Time) -> Option<ReqId> {
-        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.cores).max(self.queued());
+        let in_use = self.pool.busy.max(self.on_core() as f64 / self.pool.size).max(self.queued());
         let cores = self.pool.cores.min(self.open_size(now));
         let running = self.running().filter(|r| r.live(Phase::OnCore));
         let mut ahead: f64 = running.map(|r| self.costs.left(r)).sum();
@@ -864,14 +880,17 @@
         self.order(now).iter().filter(|_| in_use >= FREE_BUSY).find(lost).map(|r| r.new.id)
     }
 
-    /// The pool: as many on the cores as keep them busy, within crowd and memory.
+    /// The pool: as many on the cores as keep them busy, within crowd and memory. What cannot be stopped is
+    /// under the crowd ceiling by itself: all that waits at the disk may come back to the cores at once.
     fn next_to_start(&self, now: Time) -> Option<ReqId> {
         let (on_core, running) = (self.on_core() as f64, self.running().count() as f64);
-        let open = on_core + 1.0 <= self.open_size(now) && running + 1.0 <= self.pool.ceiling(now);
+        let open = on_core + 1.0 <= self.open_size(now) && running + 1.0 <= self.pool.most(now);
+        let firm = self.running().filter(|r| !self.stoppable(r.new.id)).count() as f64;
+        let safe = |r: &Req| firm + 1.0 <= self.pool.ceiling(now) || self.stoppable(r.new.id);
         // Runs that would only queue to call stay where they are; what calls nothing goes past them.
         let (queued, calls) = (self.queued(), |r: &Req| self.hold.handlers[r.handler()].calls);
+        let goes = |r: &Req| safe(r) && (queued <= 1.0 || !calls(r));
         let room = self.memory.limit * GUARD_PART - self.memory_used();
-        let goes = |r: &Req| queued <= 1.0 || !calls(r);
         let fits = |r: &&&Req| open && goes(r) && r.new.kb * (self.memory.blowup - 1.0) <= room;
         self.order(now).iter().find(fits).map(|r| r.new.id)
     }
