A shed asks for no further try only where reading the tries takes a twentieth of the cores

So the share of the cores that reading the tries takes decides, not the mark.

Change: last is said when the retries, or what was shed here before, cost more than LAST_SHARE x DEAR (a twentieth) of the cores to read. The time that reading takes by itself no longer sticks at zero after one req that lay no time.

Test where_reading_is_cheap_sheds_leave_the_try_elsewhere_open.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -44,7 +44,7 @@
 const ADVICE_STEP: f64 = 0.02; // least relative change of the advice that is said
 const DEAR: f64 = 0.25; // part of the cores from which reading counts as dear
 const UNREAD: f64 = 2.0; // weight of what lies unread over what is in hand, for callers
-const LAST_SHARE: f64 = 0.2; // share of retries among arrivals from which a shed asks for no further try
+const LAST_SHARE: f64 = 0.2; // of that part, what reading retries takes as sheds ask for no further try
 const HEARD_PART: f64 = 4.0; // callers remembered, times those told at start: the table's bound
 const HEARD_LEAST: f64 = 4096.0; // the least bound of that table, where few or none are told
 
@@ -496,7 +496,7 @@
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
         self.callers.hear(now, new.caller);
-        self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num());
+        self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num().max(1.0));
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
             out.keep.push((new.id, end - now));
@@ -745,10 +745,11 @@
         self.advice.load.add(now, 3, 1.0);
         let [arrivals, retries, _, shed] = self.advice.load.sums(now);
         let leaving = self.left.is_some();
-        let last = !leaving && (req.new.retry || retries.max(shed - 1.0) > LAST_SHARE * arrivals);
+        // A further try costs its reading: where that is cheap it may still win elsewhere.
+        let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
+        let last = !leaving && retries.max(shed - 1.0) * dear > LAST_SHARE * arrivals;
         // Where no share can be advised, the time for one req of each caller; else past a full burden.
         let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
-        let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
         let spread = self.advice.reading == Reading::Unused;
         // A shed names a time to come back: at least that in which the cores make room for it.
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -490,6 +490,20 @@
     assert!(!world.shed.first().expect("no shed at all").last, "{:?}", world.shed);
 }
 
+#[test]
+fn where_reading_is_cheap_sheds_leave_the_try_elsewhere_open() {
+    // Two long runs in a fleet that was free elsewhere: its marked retries alone ended every walk there.
+    let lasts = |lay: Time| {
+        let mut world = World::new(PLAIN);
+        world.wake(1.0);
+        arrive(&mut world, 40, lay);
+        assert!(!world.shed.is_empty());
+        world.shed.iter().filter(|s| s.last).count()
+    };
+    assert!(lasts(Time(500)) > 0, "dear reading");
+    assert_eq!(lasts(Time(1)), 0, "cheap reading");
+}
+
 #[test]
 fn a_req_that_cannot_be_won_is_shed_at_once_with_a_time_to_come_back() {
     // Held toward its client timeout, a lost req kept its caller from asking elsewhere and named no time; a
