Connections of fronts of few callers all stay; calls are slow at four times their time but under one

Change: where no more callers are than any server bears (256), all connections stay. Calls count as slow at twice their usual time only where the share is under one call; else at four times, as before.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -49,6 +49,7 @@
 const HEARD_LEAST: f64 = 4096.0; // the least bound of that table, where few or none are told
 
 const GAPS: usize = 10; // bins of the gaps between a caller's reqs, each twice as wide as the one before
+const FEW: f64 = 256.0; // connections that any server bears: where no more callers are, all stay open
 const MID_BIN: f64 = 0.75; // of a bin's edge, its middle
 const DEAR_PART: f64 = 0.15; // of the time callers leave connections idle, for which a kept one costs a new one
 
@@ -328,7 +329,7 @@
     /// a time; a tier that does not answer, whose machines fail one by one, with one a core. What all share
     /// is crowded by all together, by one call each if they are many: there the limit goes under one.
     fn ended(&mut self, now: Time, time: Time, end: CallEnd) {
-        let slow = if self.share.is_some() { STRAINED } else { PATIENCE };
+        let slow = if self.most < 1.0 { STRAINED } else { PATIENCE };
         let well = end == CallEnd::Done && (self.usual == 0.0 || time.num() <= slow * self.usual);
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
         self.lately += (time.num() - self.lately) * if self.lately > 0.0 { LATELY } else { 1.0 };
@@ -423,7 +424,8 @@
             gaps.iter().enumerate().map(|(bin, count)| count * of(bin)).sum::<f64>()
         };
         let best = (0..GAPS - 1).rev().min_by(|a, b| cost(*a).total_cmp(&cost(*b))).unwrap_or(GAPS - 2);
-        let keep = self.edge(best);
+        let few = self.told.max(self.heard.len() as f64) <= FEW;
+        let keep = if few { self.idle } else { self.edge(best) };
         (keep != std::mem::replace(&mut self.keep, keep)).then_some(keep)
     }
 }
