--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -269,7 +269,8 @@
     lingering: Vec<Time>,
     limit: f64, // calls in hand; under one, the part of the time in which one is
     most: f64,
-    rested: Time,
+    alone: bool,  // the share leaves room for one call at a time, and not always
+    rested: Time, // when the next may be made, where the limit is under one
     cores: f64,
     usual: f64,  // usual time of a call
     lately: f64, // the same of late
@@ -282,9 +283,10 @@
         // The ring's oldest bucket is part-used: it spans the window whatever part of it is gone.
         let held = Ring::new(window.times(SLOTS as f64 / (SLOTS - 1) as f64));
         let (lingering, cores, window) = (Vec::new(), cores.max(1) as f64, window.num().max(1.0));
-        let most = share.filter(|s| *s < 1.0).unwrap_or(cores * MOST_CALLS);
-        let (limit, rested, usual, lately) = (most, Time(0), 0.0, 0.0);
-        Calls { share, window, linger, held, lingering, limit, most, rested, cores, usual, lately }
+        let alone = share.filter(|s| s * GUARD_PART < 1.0);
+        let most = alone.map_or(cores * MOST_CALLS, |s| s.min(1.0));
+        let (limit, alone, rested, usual, lately) = (most, alone.is_some(), Time(0), 0.0, 0.0);
+        Calls { share, window, linger, held, lingering, limit, most, alone, rested, cores, usual, lately }
     }
 
     /// How long one call may be in hand so that the share holds over the window, however long it takes: a
@@ -296,19 +298,16 @@
 
     fn open(&self, now: Time, in_hand: usize) -> bool {
         let held = (in_hand + self.lingering.len()) as f64;
-        let alone = |s: f64| {
-            held == 0.0
-                && self.room(now) >= (self.lately + self.linger.num()).min(s * GUARD_PART * self.window)
-        };
-        let within = |s: f64| held + 1.0 <= s * GUARD_PART || alone(s);
+        let whole = |s: f64| s * GUARD_PART * self.window;
+        let room = |s: f64| self.room(now) >= (self.lately + self.linger.num()).min(whole(s));
+        let within = |s: f64| held + 1.0 <= s * GUARD_PART || self.alone && held == 0.0 && room(s);
         let rested = self.limit >= 1.0 || now >= self.rested;
         (in_hand as f64) + 1.0 <= self.limit.max(1.0) && rested && self.share.is_none_or(within)
     }
 
     /// The longest that the next call may take: what its share of the window leaves, where that is under one.
     fn longest(&self, now: Time) -> Time {
-        let alone = self.share.is_some_and(|s| s * GUARD_PART < 1.0);
-        if alone {
+        if self.alone {
             Time((self.room(now) - self.linger.num()) as i64)
         } else {
             Time::MAX
@@ -329,12 +328,12 @@
     /// a time; a tier that does not answer, whose machines fail one by one, with one a core. What all share
     /// is crowded by all together, by one call each if they are many: there the limit goes under one.
     fn ended(&mut self, now: Time, time: Time, end: CallEnd) {
-        let slow = if self.most < 1.0 { STRAINED } else { PATIENCE };
+        let slow = if self.alone { STRAINED } else { PATIENCE };
         let well = end == CallEnd::Done && (self.usual == 0.0 || time.num() <= slow * self.usual);
         self.usual += (time.num() - self.usual) * if self.usual > 0.0 { WEIGHT * WEIGHT } else { 1.0 };
         self.lately += (time.num() - self.lately) * if self.lately > 0.0 { LATELY } else { 1.0 };
-        let alone = if end == CallEnd::NeverRan { 1.0 } else { self.cores.min(self.limit) };
-        let least = self.share.map_or(alone, |s| (s * LEAST_CALLS).min(1.0));
+        let probe = if end == CallEnd::NeverRan { 1.0 } else { self.cores.min(self.limit) };
+        let least = self.share.map_or(probe, |s| if self.alone { s * LEAST_CALLS } else { 1.0 });
         let room = 1.0 - time.num() / (slow * self.usual).max(1.0);
         let step = if self.limit < 1.0 { self.limit * room * LATELY } else { 1.0 };
         let back = if self.limit < 1.0 { slow * self.usual / time.num().max(1.0) } else { BACK_OFF };
@@ -344,24 +343,6 @@
     }
 }
 
-/// What callers are told.
-pub struct Advice {
-    reading: Reading,
-    callers: f64,
-    longest_pause: Time,
-    chance: Chance,
-    said: Option<f64>,
-    load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
-    least: f64,    // time that reading takes by itself
-}
-
-impl Advice {
-    pub fn new(reading: Reading, callers: f64, pauses: Time, heeded: Time, seed: u64) -> Self {
-        let (load, chance, said, least) = (Ring::new(heeded), Chance::new(seed), None, f64::MAX);
-        Advice { reading, callers, longest_pause: pauses, chance, said, load, least }
-    }
-}
-
 /// Who sends here, and how long idle connections stay.
 pub struct Callers {
     told: f64,
@@ -430,6 +411,24 @@
     }
 }
 
+/// What callers are told.
+pub struct Advice {
+    reading: Reading,
+    callers: Callers,
+    longest_pause: Time,
+    chance: Chance,
+    said: Option<f64>,
+    load: Sums<4>, // arrivals, retries among them, time that they lay unread, sheds
+    least: f64,    // time that reading takes by itself
+}
+
+impl Advice {
+    pub fn new(reading: Reading, callers: Callers, pauses: Time, heeded: Time, seed: u64) -> Self {
+        let (load, chance, said, least) = (Ring::new(heeded), Chance::new(seed), None, f64::MAX);
+        Advice { reading, callers, longest_pause: pauses, chance, said, load, least }
+    }
+}
+
 pub struct Decider {
     beat: Beat,
     reqs: BTreeMap<ReqId, Req>,
@@ -443,7 +442,6 @@
     grace: Time,                 // after the notice to leave, in which arrivals may still run
     left: Option<(Time, Time)>,  // notice, stop
     advice: Advice,
-    callers: Callers,
 }
 
 type Condition = fn(&Decider, Time) -> Option<ReqId>;
@@ -469,24 +467,10 @@
     #[allow(clippy::too_many_arguments)]
     pub fn new(
         resolution: Time, hold: Hold, pool: Pool, limits: Threshold, costs: Costs, memory: Memory,
-        calls: Calls, grace: Time, advice: Advice, callers: Callers,
+        calls: Calls, grace: Time, advice: Advice,
     ) -> Self {
         let (beat, reqs, keys) = (Beat::new(resolution), BTreeMap::new(), BTreeMap::new());
-        Decider {
-            beat,
-            reqs,
-            hold,
-            pool,
-            limits,
-            costs,
-            memory,
-            calls,
-            keys,
-            grace,
-            left: None,
-            advice,
-            callers,
-        }
+        Decider { beat, reqs, hold, pool, limits, costs, memory, calls, keys, grace, left: None, advice }
     }
 
     pub fn arrival(&mut self, now: Time, new: Arrival) -> Results {
@@ -497,7 +481,7 @@
         self.hold.count(now, &req, 0, 1.0);
         self.limits.loss.add(now, 0, 1.0);
         self.advice.load.add_all(now, [1.0, f64::from(new.retry), new.unread.num(), 0.0]);
-        self.callers.hear(now, new.caller);
+        self.advice.callers.hear(now, new.caller);
         self.advice.least = (self.advice.least * (1.0 + WEIGHT * WEIGHT)).min(new.unread.num().max(1.0));
         let end = req.arrived + handler.window;
         if handler.kind == Kind::Uniqued && new.repeats.is_none() && end > now {
@@ -585,7 +569,7 @@
             self.beat.next_look = now + self.hold.shortest.times(TICK_PART).max(self.beat.resolution);
             let (on_core, waiting) = (self.on_core(), self.held().next().is_some());
             self.pool.learn(now, gauges, waiting, on_core, self.hold.shortest);
-            out.trim = self.callers.look(now);
+            out.trim = self.advice.callers.look(now);
             let again = self.running().filter(|r| r.answered && r.phase == Phase::OnCore).map(|r| r.new.id);
             out.stop = again.filter(|id| self.stoppable(*id)).collect();
         }
@@ -715,7 +699,7 @@
         let level = match self.advice.reading {
             Reading::Unused => return,
             Reading::Share => wanted,
-            Reading::Credit => wanted * self.pool.size / self.callers.senders(),
+            Reading::Credit => wanted * self.pool.size / self.advice.callers.senders(),
             Reading::Rank => 1.0 - wanted,
         };
         if self.advice.said.is_none_or(|said| (said - level).abs() > ADVICE_STEP * level.max(said)) {
@@ -751,7 +735,7 @@
         let dear = arrivals * self.advice.least / (self.advice.load.span() * DEAR * self.pool.cores);
         let last = !leaving && retries.max(shed - 1.0) * dear > LAST_SHARE * arrivals;
         // Where no share can be advised, the time for one req of each caller; else past a full burden.
-        let turn = self.advice.callers * self.advice.load.span() / (arrivals - shed).max(1.0);
+        let turn = self.advice.callers.told * self.advice.load.span() / (arrivals - shed).max(1.0);
         let over = (self.burden(now) - UNREAD * FULL * self.hold.shortest.num()).max(0.0);
         let spread = self.advice.reading == Reading::Unused;
         // A shed names a time to come back: at least that in which the cores make room for it.
--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -331,8 +331,7 @@
                 Memory { limit: scale, blowup: scale, per_key: scale },
                 Calls::new(Some(scale), span, span, scale.min(1e3) as usize),
                 span,
-                Advice::new(reading, scale, span, span, u64::MAX),
-                Callers::new(none, scale, span, span),
+                Advice::new(reading, Callers::new(none, scale, span, span), span, span, u64::MAX),
             );
             let mut all = vec![decider.wake(none, Gauges::default())];
             for id in 0..40 {
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -109,6 +109,7 @@
         let kinds = [Kind::Replayable, Kind::Uniqued, Kind::NonReplayable];
         let mut handlers = kinds.map(|k| handler(k, set.skip));
         handlers[2].calls = !set.idle_handler;
+        let callers = Callers::new(now, set.callers, TARGET, IDLE);
         let first = if set.cold { FIRST } else { 1.0 };
         let decider = Decider::new(
             Time(20),
@@ -119,8 +120,7 @@
             Memory { limit: set.limit_kb, blowup: BLOWUP, per_key: PER_KEY },
             Calls::new(set.share, TARGET, Time(2000), CORES),
             GRACE,
-            Advice::new(set.reading, set.callers, TARGET, TARGET, 7),
-            Callers::new(now, set.callers, TARGET, IDLE),
+            Advice::new(set.reading, callers, TARGET, TARGET, 7),
         );
         let (reqs, keys, wakes, shed) = (BTreeMap::new(), BTreeMap::new(), vec![], vec![]);
         let (left, frozen, most_passes, advice, caps, next) = (None, false, 0, 1.0, vec![], 1);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -90,7 +90,9 @@
         value: number(class, "credit")?,
         late_value: maybe_number(class, "late_value")?.unwrap_or(0.0),
         window: span(class, "dedup_window_ms")?,
-        calls: list(info, "class_calls").get(place).and_then(Value::as_bool).unwrap_or(true),
+        calls: list(info, "class_calls").get(place).map_or(Ok(true), |v| {
+            v.as_bool().ok_or_else(|| format!("class_calls[{place}] is {v}: expected true or false"))
+        })?,
         skip_value: list(info, "class_skip_worth").get(place).and_then(Value::as_f64).unwrap_or(0.0),
     })
 }
@@ -133,7 +135,8 @@
         "common" => maybe_number(info, "dep_share")?,
         _ => None,
     };
-    let callers = maybe_number(info, "upstreams")?.unwrap_or(1.0);
+    let told = maybe_number(info, "upstreams")?.unwrap_or(1.0);
+    let callers = Callers::new(now, told, span(info, "heeded_ms")?, span(info, "idle_ms")?);
     let pool = Pool::new(now, cores, factor, first, span(rules, "warm_within_ms")?);
     let memory = Memory {
         limit: number(info, "mem_limit_kb")?,
@@ -150,6 +153,5 @@
         Calls::new(share, span(info, "calls_over_ms")?, span(info, "linger_ms")?, cores),
         span(rules, "drain_grace_ms")?,
         Advice::new(reading, callers, longest_pause, span(info, "heeded_ms")?, seed),
-        Callers::new(now, callers, span(info, "heeded_ms")?, span(info, "idle_ms")?),
     ))
 }
