--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -9,6 +9,43 @@
     }
 }
 
+fn looks(world: &mut World, count: usize, step: Time, busy: f64) {
+    for _ in 0..count {
+        world.now += step;
+        world.wake(busy);
+    }
+}
+
+/// Reqs of so many callers in turn, each done after `time`; of none that says who it is where `named` is 0.
+fn in_turn(world: &mut World, named: u64, count: u64, time: Time) {
+    for turn in 0..count {
+        world.caller = (named > 0).then(|| CallerId(turn % named));
+        let id = world.arrive(0, Time(0), TIMEOUT, None);
+        world.pass(time);
+        world.end(id, RunEnd::Done);
+    }
+}
+
+/// Calls one after the other, each as long as `time` or as it may: when they began and ended.
+fn calls_in_a_row(world: &mut World, time: Time, span: Time) -> Vec<(Time, Time)> {
+    let (end, mut spans) = (world.now + span, Vec::new());
+    while world.now < end {
+        if world.count(State::Wanting) == 0 {
+            arrive(world, 1, Time(0));
+            world.ids(State::OnCore).into_iter().for_each(|id| world.want_call(id));
+        }
+        let (began, call) = (world.now, world.ids(State::Calling).first().copied());
+        let cap = call.map_or(Time(100), |_| *world.caps.last().unwrap());
+        world.pass(time.min(cap));
+        if let Some(id) = call {
+            world.end_call(id, if time < cap { CallEnd::Done } else { CallEnd::Unknown });
+            world.ids(State::OnCore).into_iter().for_each(|id| world.end(id, RunEnd::Done));
+            spans.push((began, world.now));
+        }
+    }
+    spans
+}
+
 #[test]
 fn threshold_slides_from_the_upper_bound_to_the_floor() {
     let (floor, upper) = (Time(1000), Time(9000));
@@ -80,58 +117,26 @@
     assert!(world.count(State::Wanting) > 0);
 }
 
-/// Always has a run that wants a call; each takes `time`, or as long as it may. When they began and ended.
-fn calls_one_after_the_other(world: &mut World, time: Time, span: Time) -> Vec<(Time, Time)> {
-    let (end, mut spans) = (world.now + span, Vec::new());
-    while world.now < end {
-        if world.count(State::Calling) + world.count(State::Wanting) == 0 {
-            let id = world.arrive(0, Time(0), TIMEOUT, None);
-            if world.reqs[&id].state == State::OnCore {
-                world.want_call(id);
-            }
-        }
-        let Some(id) = world.ids(State::Calling).first().copied() else {
-            world.pass(Time(100));
-            continue;
-        };
-        let (cap, began) = (*world.caps.last().unwrap(), world.now);
-        world.pass(time.min(cap));
-        if world.reqs[&id].state == State::Calling {
-            world.end_call(id, if time < cap { CallEnd::Done } else { CallEnd::Unknown });
-        }
-        spans.push((began, world.now));
-        world.ids(State::OnCore).into_iter().for_each(|id| world.end(id, RunEnd::Done));
-    }
-    spans
-}
-
 #[test]
-fn calls_that_hang_stay_within_a_share_under_one() {
+fn calls_keep_within_a_share_under_one_and_leave_what_they_crowd_time() {
     // The mean in hand was looked at as a call began; calls that then hung took it to three times the share,
     // and only that callers obeyed and calls were cut early kept what all share from falling.
     let (share, linger) = (0.4, Time(2000));
     let mut world = World::new(Set { share: Some(share), ..PLAIN });
-    let spans = calls_one_after_the_other(&mut world, TIMEOUT, TARGET.times(12.0));
+    let spans = calls_in_a_row(&mut world, TIMEOUT, TARGET.times(12.0));
     let held = |from: Time| {
-        let part = |(began, ended): &(Time, Time)| {
-            ((*ended + linger).min(from + TARGET) - (*began).max(from)).num().max(0.0)
-        };
-        spans.iter().map(part).sum::<f64>()
+        let part = |(began, ended): &(Time, Time)| (*ended + linger).min(from + TARGET) - (*began).max(from);
+        spans.iter().map(|s| part(s).num().max(0.0)).sum::<f64>()
     };
     let most = spans.iter().map(|(began, _)| held(*began)).fold(0.0, f64::max);
     assert!(spans.len() > 3 && most <= share * TARGET.num(), "{most} in hand over the window: {spans:?}");
-}
-
-#[test]
-fn calls_that_crowd_what_all_share_leave_it_time() {
     // Three hundred servers with one call each were ten times what the shared database had slots for; its
     // calls took forty times their time and ten in eleven were given up, long after the trouble had ended.
     let mut world = World::new(Set { share: Some(0.8), ..PLAIN });
-    calls_one_after_the_other(&mut world, Time(100), TARGET.times(3.0));
-    let slow = calls_one_after_the_other(&mut world, Time(2500), TARGET.times(6.0));
+    calls_in_a_row(&mut world, Time(100), TARGET.times(3.0));
+    let slow = calls_in_a_row(&mut world, Time(2500), TARGET.times(6.0));
     let late = &slow[slow.len() / 2..];
-    let in_hand: f64 = late.iter().map(|(began, ended)| (*ended - *began).num()).sum();
-    let part = in_hand / (world.now - late[0].0).num();
+    let part = late.iter().map(|(b, e)| (*e - *b).num()).sum::<f64>() / (world.now - late[0].0).num();
     assert!((0.1..0.35).contains(&part), "{part} of the time with a call in hand: {slow:?}");
 }
 
@@ -367,15 +372,11 @@
 #[test]
 fn the_pool_grows_where_runs_wait_on_disk_and_not_at_a_late_gauge() {
     // The gauge looks back, so a rush on idle cores grew the pool past the runs that slow each other.
-    for (looks, more) in [(6, false), (40, true)] {
+    for (count, more) in [(6, false), (40, true)] {
         let mut world = World::new(PLAIN);
         arrive(&mut world, 6, Time(0));
-        for _ in 0..looks {
-            world.pass(Time(1));
-            world.now += TARGET.times(0.06);
-            world.wake(0.5);
-        }
-        assert_eq!(world.count(State::OnCore) > CORES, more, "after {looks} looks");
+        looks(&mut world, count, TARGET.times(0.06), 0.5);
+        assert_eq!(world.count(State::OnCore) > CORES, more, "after {count} looks");
     }
 }
 
@@ -386,22 +387,16 @@
     for (handler, seen, past) in [(0, Some(1.0), true), (0, None, false), (2, Some(1.0), false)] {
         let mut world = World::new(PLAIN);
         world.seen = seen;
-        let look = |world: &mut World| {
-            world.now += TARGET.times(0.06);
-            world.wake(0.1);
-            world.check();
-        };
         for _ in 0..10 {
             (0..3).for_each(|_| _ = world.arrive(handler, Time(0), TIMEOUT, None));
-            look(&mut world);
+            looks(&mut world, 1, TARGET.times(0.06), 0.1);
         }
         let running = world.count(State::OnCore);
         assert_eq!(running > ceiling, past, "{running} of handler {handler}, seen {seen:?}");
         assert!(running >= ceiling, "{running} of handler {handler}, seen {seen:?}");
         // All come back to the cores: at the next look those past the ceiling are stopped.
         world.seen = seen.map(|_| running as f64);
-        world.now += TARGET.times(0.06);
-        world.wake(1.0);
+        looks(&mut world, 1, TARGET.times(0.06), 1.0);
         assert_eq!(world.count(State::OnCore), ceiling, "handler {handler}, seen {seen:?}");
     }
 }
@@ -410,12 +405,7 @@
 fn slow_runs_do_not_shut_their_handler_out_of_idle_cores() {
     // Runs at the disk passed for use of the cores: one handler, its runs once slow, was turned away for good.
     let mut world = World::new(PLAIN);
-    let run = |world: &mut World, steps: usize| {
-        for _ in 0..steps {
-            world.now += Time(500);
-            world.wake(0.2);
-        }
-    };
+    let run = |world: &mut World, steps: usize| looks(world, steps, Time(500), 0.2);
     for _ in 0..8 {
         let ids = [0, 0, 0, 0].map(|h| world.arrive(h, Time(0), TIMEOUT, None));
         run(&mut world, 17);
@@ -437,12 +427,7 @@
 fn runs_that_wait_on_the_disk_leave_room_for_newcomers() {
     // A run whose cores stood idle was taken for work: two waits on the disk turned all newcomers away.
     let mut world = World::new(PLAIN);
-    let run = |world: &mut World, steps: usize| {
-        for _ in 0..steps {
-            world.now += Time(500);
-            world.wake(0.1);
-        }
-    };
+    let run = |world: &mut World, steps: usize| looks(world, steps, Time(500), 0.1);
     for _ in 0..8 {
         let ids = [0, 1].map(|_| world.arrive(0, Time(0), TIMEOUT, None));
         run(&mut world, 12);
@@ -461,12 +446,7 @@
     // told one, as on sockets, the table of callers heard held no more than four.
     for (told, named, most, least) in [(1000.0, 2, 1.0, 0.5), (1000.0, 0, 0.01, 0.0), (1.0, 10, 0.2, 0.0)] {
         let mut world = World::new(Set { reading: Reading::Credit, callers: told, ..PLAIN });
-        for caller in 0..named.max(1) {
-            world.caller = (named > 0).then_some(CallerId(caller));
-            let id = world.arrive(0, Time(0), TIMEOUT, None);
-            world.pass(Time(100));
-            world.end(id, RunEnd::Done);
-        }
+        in_turn(&mut world, named, named.max(1), Time(100));
         assert!((least..=most).contains(&world.advice), "credit {} for {named} of {told}", world.advice);
     }
 }
@@ -474,11 +454,14 @@
 #[test]
 fn sheds_ask_for_no_further_try_once_many_are_shed_though_no_retry_is_marked() {
     // Unmarked walks through a full fleet paid the reading of each server on their way, up to ten of them.
-    let mut world = World::new(PLAIN);
-    world.wake(1.0);
-    arrive(&mut world, 40, Time(500));
-    let last = world.shed.iter().filter(|s| s.last).count();
-    assert!(!world.shed.is_empty() && last * 2 > world.shed.len(), "{last} of {:?}", world.shed.len());
+    // Where reading is cheap a try elsewhere may still win: marked retries alone ended every walk there.
+    for (lay, dear) in [(500, true), (1, false)] {
+        let mut world = World::new(PLAIN);
+        world.wake(1.0);
+        arrive(&mut world, 40, Time(lay));
+        let (last, all) = (world.shed.iter().filter(|s| s.last).count(), world.shed.len());
+        assert!(all > 0 && if dear { last * 2 > all } else { last == 0 }, "{last} of {all}, lay {lay}");
+    }
     // On a quiet day every shed asked for no further try: one shed among four arrivals passed a fifth of them.
     let mut world = World::new(PLAIN);
     world.wake(1.0);
@@ -489,20 +472,6 @@
     assert!(!world.shed.first().expect("no shed at all").last, "{:?}", world.shed);
 }
 
-#[test]
-fn where_reading_is_cheap_sheds_leave_the_try_elsewhere_open() {
-    // Two long runs in a fleet that was free elsewhere: its marked retries alone ended every walk there.
-    let lasts = |lay: Time| {
-        let mut world = World::new(PLAIN);
-        world.wake(1.0);
-        arrive(&mut world, 40, lay);
-        assert!(!world.shed.is_empty());
-        world.shed.iter().filter(|s| s.last).count()
-    };
-    assert!(lasts(Time(500)) > 0, "dear reading");
-    assert_eq!(lasts(Time(1)), 0, "cheap reading");
-}
-
 #[test]
 fn a_req_that_cannot_be_won_is_shed_at_once_with_a_time_to_come_back() {
     // Held toward its client timeout, a lost req kept its caller from asking elsewhere and named no time; a
@@ -521,21 +490,15 @@
 fn connections_stay_as_long_as_pays_by_the_gaps_seen() {
     // A thousand callers that each came seldom filled the table with idle connections, which took a third of
     // the cores and turned callers away; closing them all at once cost fronts whose callers come back soon.
-    for (told, named, gap, least, most) in
-        [(1000.0, 1000, 1500, 0, 1000), (4.0, 4, 1500, 10_000, IDLE.0), (1000.0, 4, 1500, 5000, IDLE.0)]
-    {
+    // Few callers all stay, and those that do not say who they are: nothing is known of them.
+    for (told, named, least, most) in [
+        (1000.0, 1000, 0, 1000),
+        (1000.0, 4, 5000, IDLE.0),
+        (4.0, 4, IDLE.0, IDLE.0),
+        (1000.0, 0, IDLE.0, IDLE.0),
+    ] {
         let mut world = World::new(Set { callers: told, ..PLAIN });
-        for turn in 0..120 {
-            world.caller = Some(CallerId(turn % named));
-            let id = world.arrive(0, Time(0), TIMEOUT, None);
-            world.pass(Time(gap));
-            world.end(id, RunEnd::Done);
-        }
+        in_turn(&mut world, named, 120, Time(1500));
         assert!((least..=most).contains(&world.trim.0), "{named} of {told} callers: {:?}", world.trim);
     }
-    // Callers that do not say who they are: nothing is known, and all stay.
-    let mut world = World::new(Set { callers: 1000.0, ..PLAIN });
-    arrive(&mut world, 60, Time(0));
-    world.pass(Time(20_000));
-    assert_eq!(world.trim, IDLE);
 }
