--- a/crates/decide/tests/decide/plain.rs
+++ b/crates/decide/tests/decide/plain.rs
@@ -17,19 +17,17 @@
 }
 
 /// Runs that take so many looks, with so little of the cores.
-fn at_the_disk(world: &mut World, handlers: &[usize], steps: usize, busy: f64) {
+fn runs(world: &mut World, handlers: &[usize], count: usize, step: Time, busy: f64) {
     let ids: Vec<_> = handlers.iter().map(|h| world.arrive(*h, Time(0), TIMEOUT, None)).collect();
-    looks(world, steps, Time(500), busy);
+    looks(world, count, step, busy);
     ids.into_iter().for_each(|id| world.end(id, RunEnd::Done));
 }
 
-/// Reqs of so many callers in turn, each done after `time`; of none that says who it is where `named` is 0.
+/// Reqs of so many callers in turn; of none that says who it is where `named` is 0.
 fn in_turn(world: &mut World, named: u64, count: u64, time: Time) {
     for turn in 0..count {
         world.caller = (named > 0).then(|| CallerId(turn % named));
-        let id = world.arrive(0, Time(0), TIMEOUT, None);
-        world.pass(time);
-        world.end(id, RunEnd::Done);
+        runs(world, &[0], 1, time, 0.5);
     }
 }
 
@@ -145,20 +143,14 @@
     let late = &slow[slow.len() / 2..];
     let part = late.iter().map(|(b, e)| (*e - *b).num()).sum::<f64>() / (world.now - late[0].0).num();
     assert!((0.1..0.35).contains(&part), "{part} of the time with a call in hand: {slow:?}");
-}
-
-#[test]
-fn runs_that_call_nothing_go_past_a_queue_of_calls() {
     // While calls queued nothing started, not even what never calls.
-    let mut world = World::new(Set { share: Some(0.8), ..PLAIN });
+    world.ids(State::Wanting).into_iter().for_each(|id| world.gone(id));
     for _ in 0..4 {
-        world.arrive(0, Time(0), TIMEOUT, None);
+        arrive(&mut world, 1, Time(0));
         world.ids(State::OnCore).into_iter().for_each(|id| world.want_call(id));
     }
-    assert!(world.count(State::Wanting) > 0);
-    let [calls, none] = [0, 2].map(|kind| world.arrive(kind, Time(0), TIMEOUT, None));
-    assert_ne!(world.reqs[&calls].state, State::OnCore);
-    assert_eq!(world.reqs[&none].state, State::OnCore);
+    let ids = [0, 2].map(|kind| world.arrive(kind, Time(0), TIMEOUT, None));
+    assert_eq!(ids.map(|id| world.reqs[&id].state == State::OnCore), [false, true]);
 }
 
 #[test]
@@ -412,7 +404,7 @@
 fn runs_at_the_disk_leave_room_for_newcomers() {
     // A run whose cores stood idle was taken for work: two waits on the disk turned all newcomers away.
     let mut world = World::new(PLAIN);
-    (0..8).for_each(|_| at_the_disk(&mut world, &[0, 0], 12, 0.1));
+    (0..8).for_each(|_| runs(&mut world, &[0, 0], 12, Time(500), 0.1));
     assert!(world.shed.is_empty(), "{:?}", world.shed);
     arrive(&mut world, 2, Time(0));
     looks(&mut world, 4, Time(500), 0.1);
@@ -420,16 +412,10 @@
     assert!(world.shed.is_empty(), "a newcomer beside two runs at the disk was shed: {:?}", world.shed);
     // They passed for use of the cores: one handler, its runs once slow, was turned away for good.
     let mut world = World::new(PLAIN);
-    (0..8).for_each(|_| at_the_disk(&mut world, &[0, 0, 0, 0], 17, 0.2));
+    (0..8).for_each(|_| runs(&mut world, &[0; 4], 17, Time(500), 0.2));
     world.shed.clear();
-    for _ in 0..8 {
-        let ids = [0, 0, 2].map(|h| world.arrive(h, Time(0), TIMEOUT, None));
-        assert!(world.shed.is_empty(), "{:?} was shed beside two runs at the disk", ids[2]);
-        for (steps, ended) in [(16, &ids[..2]), (14, &ids[2..])] {
-            looks(&mut world, steps, Time(500), 0.2);
-            ended.iter().for_each(|id| world.end(*id, RunEnd::Done));
-        }
-    }
+    (0..8).for_each(|_| runs(&mut world, &[0, 0, 2], 30, Time(500), 0.2));
+    assert!(world.shed.is_empty(), "shed beside two runs at the disk: {:?}", world.shed);
 }
 
 #[test]
--- a/crates/decide/tests/decide/world.rs
+++ b/crates/decide/tests/decide/world.rs
@@ -330,7 +330,7 @@
         }
     }
 
-    pub fn check(&self) {
+    fn check(&self) {
         let now = self.now;
         let slack = Time(400);
         for (id, noted) in &self.reqs {
