--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -4,11 +4,10 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::future;
 use futures_lite::FutureExt;
 use std::future::Future;
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,7 +35,7 @@
         None
     };
     futures_lite::pin!(closed);
-    let (mut told, mut closing) = (None, false);
+    let mut told = None;
     loop {
         let now = Instant::now();
         if front.room.full() && told.is_none_or(|at| now - at > TOLD_EACH) {
@@ -47,71 +46,54 @@
             front.room.free().await;
             Some(listener.accept().await)
         };
-        // The end of `closed` is seen once; from then on only what waits already is taken, room or not.
-        let one = if closing { None } else { taken.or(closed.as_mut()).await };
-        closing = one.is_none();
-        let accepted = match one {
-            Some(accepted) => accepted,
-            None => match future::poll_once(listener.accept()).await {
-                Some(accepted) => accepted,
-                None => return,
-            },
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let (conn, place, front) = (ConnId(next), front.room.place(), front.clone());
-                next += 1;
-                let task = async move {
-                    guarded(conn, intake::serve(conn, stream, &front)).await;
-                    let _ = front.desk.send(Input::Closed(conn)).await;
-                    drop(place);
-                };
-                executor.spawn(task).detach();
-            }
-            Err(_) if closing => return,
-            Err(error) => {
+        match taken.or(closed.as_mut()).await {
+            Some(Ok((stream, _))) => take(&executor, &front, &mut next, stream),
+            Some(Err(error)) => {
                 tracing::warn!(%error, "cannot accept; resting");
                 Timer::after(REST).await;
             }
+            None => break,
+        }
+    }
+    // Guards connections that come in the moment of the close: between the look that finds none and the close there
+    // is no other step, so that none is reset there with a req on it.
+    let Ok(listener) = listener.into_inner() else { return };
+    while let Some(accepted) = waiting(&listener) {
+        match accepted {
+            Ok(stream) => take(&executor, &front, &mut next, stream),
+            Err(error) => return tracing::warn!(%error, "cannot accept what waits at the end"),
         }
     }
 }
 
-/// Serves a connection; a panic in its handling ends that connection alone.
-async fn guarded(conn: ConnId, serving: impl Future<Output = ()>) {
-    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
-        tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
+/// A connection that waits to be accepted; none where none does.
+fn waiting(listener: &TcpListener) -> Option<io::Result<Async<TcpStream>>> {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => return Some(Async::new(stream)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+            // One that was reset while it waited says nothing of the next.
+            Err(e) if [io::ErrorKind::Interrupted, io::ErrorKind::ConnectionAborted].contains(&e.kind()) => {}
+            Err(e) => return Some(Err(e)),
+        }
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::room::Room;
-
-    /// Guards the server against a panic in one connection's handling: it ends there.
-    #[test]
-    fn a_panic_stays_with_its_connection() {
-        future::block_on(guarded(ConnId(1), async { panic!("on purpose") }));
-    }
+/// Serves a connection in a task of its own.
+fn take(executor: &LocalExecutor<'static>, front: &Rc<Front>, next: &mut u64, stream: Async<TcpStream>) {
+    let (conn, place, front) = (ConnId(*next), front.room.place(), front.clone());
+    *next += 1;
+    let task = async move {
+        guarded(conn, intake::serve(conn, stream, &front)).await;
+        let _ = front.desk.send(Input::Closed(conn)).await;
+        drop(place);
+    };
+    executor.spawn(task).detach();
+}
 
-    /// Guards connections that the machine had accepted when the server stopped listening: looking at the end
-    /// again after it was seen panicked here, and one past the room was dropped with what it had sent.
-    #[test]
-    fn what_waits_at_the_end_is_still_taken() {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-        let addr = listener.get_ref().local_addr().unwrap();
-        let clients: Vec<_> = (0..3).map(|_| std::net::TcpStream::connect(addr).unwrap()).collect();
-        let (desk, inputs) = async_channel::unbounded();
-        let (_, close) = async_channel::bounded(1);
-        let executor = Rc::new(LocalExecutor::new());
-        let front = Front { names: Rc::default(), room: Room::new(1, 0), desk };
-        let listening = listen(executor.clone(), listener, Rc::new(front), close);
-        async_io::block_on(executor.run(async {
-            listening.await;
-            for _ in &clients {
-                assert!(matches!(inputs.recv().await, Ok(Input::Opened(..))));
-            }
-        }));
+/// Serves a connection; a panic in its handling ends that connection alone.
+pub async fn guarded(conn: ConnId, serving: impl Future<Output = ()>) {
+    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
+        tracing::error!(conn = conn.0, "a connection's handling panicked; it is closed");
     }
 }
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -1,5 +1,6 @@
 //! The way back to the sidecars: who is connected, what is said to them, and the writing of it.
 use crate::input::ConnId;
+use crate::time::{duration, span_of_ms};
 use crate::wire::sidecar::Reply;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
@@ -11,7 +12,8 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// A sidecar that takes nothing for this long is given up.
+/// A sidecar that takes nothing for this long is given up, or for the longest client timeout where that is longer: so
+/// none is cut off while an answer of it may still be in time.
 const STUCK: Duration = Duration::from_secs(5);
 /// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms. The second holds where
 /// other connections need the room.
@@ -20,36 +22,95 @@
 /// A connection that has sent nothing yet is no worse than others for this long.
 const YOUNG: Time = Time(1_000);
 
-/// An encoded reply, and whether it settles a req.
-pub struct Parcel {
-    bytes: Vec<u8>,
-    settles: bool,
+/// What the desk hands a connection's writer.
+pub enum Parcel {
+    /// An encoded reply, and whether it settles a req.
+    Reply { bytes: Vec<u8>, settles: bool },
+    /// Close, if the desk has taken all that was read here: `taken` inputs. What crosses this keeps it open.
+    Close { taken: u64 },
 }
 
-/// Writes what the desk hands over, until it hands over no more.
-pub async fn write(stream: &Async<TcpStream>, parcels: Receiver<Parcel>, open: &Cell<usize>) {
+/// How far the reader of a connection has come, for its writer to see.
+#[derive(Default)]
+pub struct Progress {
+    /// Reqs read and not yet answered on the wire.
+    pub open: Cell<usize>,
+    /// Inputs that were read, whether or not the desk has taken them yet.
+    pub read: Cell<u64>,
+    /// Whether a frame has come in part.
+    pub midway: Cell<bool>,
+}
+
+impl Progress {
+    /// Guards reqs that cross a close: one that was read and not taken, half a frame, or bytes that lie unread keep
+    /// the connection open. What comes after this look is read by nobody, so it never runs; its sidecar sends it
+    /// again elsewhere.
+    fn quiet(&self, stream: &Async<TcpStream>, taken: u64) -> bool {
+        let unread = stream.get_ref().peek(&mut [0]).is_ok_and(|count| count > 0);
+        self.read.get() == taken && !self.midway.get() && !unread
+    }
+}
+
+/// How the writing of a connection ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Written {
+    /// All that was handed over is written, and no more will be.
+    All,
+    /// The sidecar takes nothing any more.
+    Broken,
+}
+
+/// How long a sidecar may take nothing.
+pub fn patience(longest_ms: f64) -> Duration {
+    STUCK.max(duration(span_of_ms(longest_ms)))
+}
+
+/// Writes what the desk hands over, until it hands over no more or closes a connection that is quiet.
+pub async fn write(
+    stream: &Async<TcpStream>, parcels: Receiver<Parcel>, progress: &Progress, patience: Duration,
+) -> Written {
     let mut bytes = Vec::new();
     while let Ok(first) = parcels.recv().await {
-        let mut settled = 0;
+        let (mut settled, mut close) = (0, None);
         bytes.clear();
         for parcel in std::iter::once(first).chain(std::iter::from_fn(|| parcels.try_recv().ok())) {
-            bytes.extend_from_slice(&parcel.bytes);
-            settled += usize::from(parcel.settles);
+            match parcel {
+                Parcel::Reply { bytes: reply, settles } => {
+                    bytes.extend_from_slice(&reply);
+                    settled += usize::from(settles);
+                }
+                Parcel::Close { taken } => close = Some(taken),
+            }
         }
-        let stuck = async {
-            Timer::after(STUCK).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        if (&mut &*stream).write_all(&bytes).or(stuck).await.is_err() {
-            return;
+        // Before the first byte goes: a sidecar may send its next req as soon as it has an answer, while others of
+        // this batch are still being written.
+        progress.open.set(progress.open.get().saturating_sub(settled));
+        let mut written = 0;
+        while written < bytes.len() {
+            // Guards slow links: what counts is that nothing is taken, not how long all of it takes.
+            let stuck = async {
+                Timer::after(patience).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            match (&mut &*stream).write(&bytes[written..]).or(stuck).await {
+                Ok(count) if count > 0 => written += count,
+                _ => return Written::Broken,
+            }
+        }
+        if close.is_some_and(|taken| progress.quiet(stream, taken)) {
+            return Written::All;
         }
-        open.set(open.get().saturating_sub(settled));
     }
+    Written::All
 }
 
 struct Outlet {
-    parcels: Sender<Parcel>,
+    /// None once the desk has nothing more to say here: the writer writes what it has and closes.
+    parcels: Option<Sender<Parcel>>,
+    /// Reqs and checks that wait for their answer.
     open: usize,
+    /// Inputs taken from it.
+    taken: u64,
     /// Whether it has ever carried anything.
     heard: bool,
     /// Whether the engine has known a req of it.
@@ -58,11 +119,19 @@
     used: Time,
     /// When the sidecar was told to send no more.
     told: Option<Time>,
-    /// To be closed once nothing is open.
+    /// Whether it was asked to close, and nothing came since.
+    closing: bool,
+    /// To be closed once nothing is open: nothing more is read from it.
     ending: bool,
 }
 
-/// The connections, as the desk knows them.
+impl Outlet {
+    fn idle(&self) -> bool {
+        self.open == 0 && !self.closing && self.parcels.is_some()
+    }
+}
+
+/// The connections, as the desk knows them: from their opening until they are closed, their last bytes written.
 #[derive(Default)]
 pub struct Outlets {
     conns: BTreeMap<ConnId, Outlet>,
@@ -72,22 +141,39 @@
 
 impl Outlets {
     pub fn opened(&mut self, now: Time, conn: ConnId, parcels: Sender<Parcel>) {
-        self.conns.insert(
-            conn,
-            Outlet { parcels, open: 0, heard: false, proven: false, used: now, told: None, ending: false },
-        );
+        let outlet = Outlet {
+            parcels: Some(parcels),
+            open: 0,
+            taken: 0,
+            heard: false,
+            proven: false,
+            used: now,
+            told: None,
+            closing: false,
+            ending: false,
+        };
+        self.conns.insert(conn, outlet);
     }
 
     pub fn closed(&mut self, conn: ConnId) {
         self.conns.remove(&conn);
     }
 
-    pub fn took(&mut self, now: Time, conn: ConnId) {
-        if let Some(outlet) = self.conns.get_mut(&conn) {
+    /// A req or a check came on it. False where it can carry no answer any more: what came must not run.
+    pub fn took(&mut self, now: Time, conn: ConnId) -> bool {
+        let live = self.heard(now, conn);
+        if let Some(outlet) = self.conns.get_mut(&conn).filter(|_| live) {
             outlet.open += 1;
-            outlet.heard = true;
-            outlet.used = now;
         }
+        live
+    }
+
+    /// Something came on it, be it what needs no answer. False where it can carry none any more.
+    pub fn heard(&mut self, now: Time, conn: ConnId) -> bool {
+        let Some(outlet) = self.conns.get_mut(&conn).filter(|o| o.parcels.is_some()) else { return false };
+        outlet.taken += 1;
+        (outlet.heard, outlet.used, outlet.closing) = (true, now, false);
+        true
     }
 
     pub fn prove(&mut self, conn: ConnId) {
@@ -101,17 +187,17 @@
     /// Sends a reply where the connection still stands. One whose queue is full reads nothing: it is dropped.
     pub fn send(&mut self, now: Time, conn: ConnId, reply: &Reply) {
         let Some(outlet) = self.conns.get_mut(&conn) else { return };
+        let Some(parcels) = &outlet.parcels else { return };
         let mut bytes = Vec::new();
         let settles = reply.settles();
         reply.encode(self.say, &mut bytes);
-        if outlet.parcels.try_send(Parcel { bytes, settles }).is_err() {
+        if parcels.try_send(Parcel::Reply { bytes, settles }).is_err() {
             tracing::warn!(conn = conn.0, "a sidecar reads nothing; its connection is dropped");
-            self.conns.remove(&conn);
+            outlet.parcels = None;
             return;
         }
-        outlet.used = now;
-        outlet.heard = true;
-        outlet.open -= usize::from(settles).min(outlet.open);
+        (outlet.used, outlet.heard) = (now, true);
+        outlet.open -= usize::from(reply.answers()).min(outlet.open);
         self.end_if_settled(conn);
     }
 
@@ -120,7 +206,7 @@
         self.end(conn);
     }
 
-    /// Closes the connection once nothing is open on it.
+    /// Closes the connection, from which nothing more is read, once nothing is open on it.
     pub fn end(&mut self, conn: ConnId) {
         if let Some(outlet) = self.conns.get_mut(&conn) {
             outlet.ending = true;
@@ -129,8 +215,8 @@
     }
 
     fn end_if_settled(&mut self, conn: ConnId) {
-        if self.conns.get(&conn).is_some_and(|o| o.ending && o.open == 0) {
-            self.conns.remove(&conn);
+        if let Some(outlet) = self.conns.get_mut(&conn).filter(|o| o.ending && o.open == 0) {
+            outlet.parcels = None;
         }
     }
 
@@ -147,36 +233,49 @@
         }
     }
 
-    /// Of `taken` connections, closing ones among them, `most` may stay: those of least use go. First those that
-    /// never sent anything; of the idle the longest unused are told, and closed once nothing can cross any longer.
+    /// Asks the connections that are idle and to `go` to close. One on which something was read meanwhile stays
+    /// until that is answered.
+    fn close(&mut self, go: impl Fn(&Outlet) -> bool) {
+        for outlet in self.conns.values_mut().filter(|o| o.idle() && go(o)) {
+            let close = Parcel::Close { taken: outlet.taken };
+            outlet.closing = outlet.parcels.as_ref().is_some_and(|parcels| parcels.try_send(close).is_ok());
+        }
+    }
+
+    /// Of `taken` connections, closing ones among them, `most` may stay: those of least use are told and go. First
+    /// those that never sent anything, at once; of the idle the longest unused, once nothing can cross any longer.
     pub fn make_room(&mut self, now: Time, taken: usize, most: usize) {
         let Some(over) = taken.checked_sub(most).filter(|over| *over > 0) else { return };
-        self.conns.retain(|_, o| o.open > 0 || o.told.is_none_or(|at| now - at < CROSSING_AT_LEAST));
-        let told = self.conns.values().filter(|o| o.told.is_some()).count();
-        let going = taken.saturating_sub(self.conns.len()) + told;
-        let idle = self.conns.iter().filter(|(_, o)| o.open == 0 && o.told.is_none());
+        self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
+        let goes = |o: &Outlet| o.told.is_some() || o.closing || o.parcels.is_none();
+        let going = self.conns.values().filter(|o| goes(o)).count();
+        let idle = self.conns.iter().filter(|(_, o)| o.idle() && !goes(o));
         let mut idle: Vec<_> =
             idle.map(|(conn, o)| (o.heard || now - o.used < YOUNG, o.used, *conn)).collect();
         idle.sort_unstable();
         for (heard, _, conn) in idle.into_iter().take(over.saturating_sub(going)) {
-            if heard {
-                self.tell(now, conn);
-            } else {
-                self.fault(now, conn, "no room for a connection that sends nothing");
+            self.tell(now, conn);
+            if let Some(outlet) = self.conns.get_mut(&conn).filter(|_| !heard) {
+                // It has sent nothing for so long that it counts as told for long enough.
+                outlet.told = Some(now - CROSSING_AT_LEAST);
             }
         }
+        self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
     }
 
-    /// Connections told to close are closed after what may cross.
-    pub fn chores(&mut self, now: Time) {
-        self.conns.retain(|_, o| o.open > 0 || o.told.is_none_or(|at| now - o.used.max(at) < CROSSING));
+    /// Connections told to close are closed after what may cross: the longer time, or where the server leaves and
+    /// has stopped listening the shorter one.
+    pub fn chores(&mut self, now: Time, leaves: bool) {
+        let crossing = if leaves { CROSSING_AT_LEAST } else { CROSSING };
+        self.close(|o| o.told.is_some_and(|at| now - o.used.max(at) >= crossing));
     }
 
-    /// Whether nothing is open or waits to be written.
-    pub fn settled(&self) -> bool {
-        self.conns.values().all(|o| o.open == 0 && o.parcels.is_empty())
+    /// All that are idle close, whenever they were told.
+    pub fn close_idle(&mut self) {
+        self.close(|_| true);
     }
 
+    /// How many still stand.
     pub fn count(&self) -> usize {
         self.conns.len()
     }
--- a/crates/server/src/client.rs
+++ b/crates/server/src/client.rs
@@ -4,7 +4,7 @@
 use crate::wire::http::{self, Decoder};
 use async_io::Async;
 use cottondyke_decide::types::CallEnd;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -44,27 +44,40 @@
 }
 
 /// One request and its reply. `sending` is set before the first byte goes out, `heard` with the first that comes
-/// back. With the reply, whether the connection may be used again.
+/// back. With the reply, whether the connection may be used again. A service may answer before it has read the
+/// request, and close: that reply counts, though the rest can no longer be written.
 pub async fn exchange(
     stream: &mut Stream, request: &[u8], sending: &Cell<bool>, heard: &Cell<bool>,
 ) -> Result<(http::Reply, bool), CallError> {
     sending.set(true);
-    stream.write_all(request).await.map_err(|_| CallError::MaybeBegun("broke while it was sent"))?;
-    let mut decoder = Decoder::default();
-    let mut bytes = [0; READ];
-    loop {
-        let count = stream.read(&mut bytes).await.map_err(|_| CallError::Ended("broke before its reply"))?;
-        if count == 0 {
-            return Err(CallError::Ended("closed before its reply"));
-        }
-        heard.set(true);
-        decoder.feed(&bytes[..count]);
-        let malformed = |_| CallError::Ended("a malformed reply");
-        if let Some(reply) = decoder.reply().map_err(malformed)? {
-            let again = !reply.close && decoder.is_empty();
-            return Ok((reply, again));
+    let (stream, sent) = (&*stream, Cell::new(None));
+    let writing = async {
+        sent.set(Some((&mut &*stream).write_all(request).await.is_ok()));
+        future::pending().await
+    };
+    let broke = |why| match sent.get() {
+        Some(true) => CallError::Ended(why),
+        _ => CallError::MaybeBegun("broke while it was sent"),
+    };
+    let reading = async {
+        let mut decoder = Decoder::default();
+        let mut bytes = [0; READ];
+        loop {
+            let count =
+                (&mut &*stream).read(&mut bytes).await.map_err(|_| broke("broke before its reply"))?;
+            if count == 0 {
+                return Err(broke("closed before its reply"));
+            }
+            heard.set(true);
+            decoder.feed(&bytes[..count]);
+            let malformed = |_| CallError::Ended("a malformed reply");
+            if let Some(reply) = decoder.reply().map_err(malformed)? {
+                let again = !reply.close && decoder.is_empty() && sent.get() == Some(true);
+                return Ok((reply, again));
+            }
         }
-    }
+    };
+    reading.or(writing).await
 }
 
 /// Connections that are not in use, by address; those used last are used first.
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -70,6 +70,8 @@
     pub kinds: Vec<Kind>,
     /// Response target and client timeout by handler.
     pub times: Vec<(Time, Time)>,
+    /// Dedup window by handler.
+    pub windows: Vec<Time>,
     /// How long the answer of a read may be handed to others.
     pub fresh: Time,
     pub places: Places,
@@ -118,9 +120,10 @@
         let memory = settings::whole(limits, "memory_mb").map_err(|wrong| format!("limits: {wrong}"))?;
         let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let connections = sockets.min(allowed.unwrap_or(sockets)).checked_sub(KEPT_BACK).filter(|n| *n > 0);
-        let classes = conf.get("classes").and_then(Value::as_array).into_iter().flatten();
+        let classes = || conf.get("classes").and_then(Value::as_array).into_iter().flatten();
         let ms = |class: &Value, key: &str| class.get(key).and_then(Value::as_f64).unwrap_or(0.0);
-        let times = classes.map(|class| (ms(class, "aim_ms"), ms(class, "deadline_ms"))).collect::<Vec<_>>();
+        let times =
+            classes().map(|class| (ms(class, "aim_ms"), ms(class, "deadline_ms"))).collect::<Vec<_>>();
         let places = settings::places(conf);
         if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
             return Err("settings: classes is empty or lacks a name".to_string());
@@ -138,6 +141,7 @@
             memory: (memory as usize).saturating_mul(1 << 20),
             longest: times.iter().map(|(_, timeout)| *timeout).fold(0.0, f64::max),
             times: times.iter().map(|(aim, timeout)| (span_of_ms(*aim), span_of_ms(*timeout))).collect(),
+            windows: classes().map(|class| span_of_ms(ms(class, "dedup_window_ms"))).collect(),
             kinds: settings::kinds(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             fresh: settings::fresh(conf).map_err(|wrong| format!("settings: {wrong}"))?,
             places,
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -32,6 +32,8 @@
 const FORGOTTEN: f64 = 4.0;
 /// A wake goes to the decider without gauges when none come within this time.
 const GAUGES_WITHIN: Time = Time(100);
+/// By which each time limit is longer on sockets (protocol page): a dedup window, which that makes stricter, too.
+const SLACK: Time = Time(500);
 /// Part of the time from the notice to leave to the end in which pages are composed whole.
 const PAGES_PART: f64 = 0.9;
 const CHORES: Time = Time(500);
@@ -52,6 +54,13 @@
     joined: Option<ReqId>,
 }
 
+impl Entry {
+    /// By when it must be answered: as its caller tells, else by the client timeout.
+    fn due(&self, timeout: Time) -> Time {
+        self.arrived + self.new.wait.map_or(timeout, |wait| wait + self.new.lay)
+    }
+}
+
 /// What went wrong in the last second: one line at the most, whatever the number.
 #[derive(Default)]
 struct Tally {
@@ -223,8 +232,12 @@
         if now < self.next_chores {
             return false;
         }
-        self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
-        self.outlets.chores(now);
+        // A short notice has stages closer to each other than the chores of leaving.
+        let next = self.notice.and_then(|notice| drain::next(notice, self.left(), now));
+        let chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
+        self.next_chores = next.map_or(chores, |next| chores.min(next));
+        let stage = drain::stage(self.notice, self.left(), now);
+        self.outlets.chores(now, stage >= Stage::Closed);
         self.make_room(now);
         if let Some(engine) = &mut self.works.engine {
             engine.chores(now);
@@ -236,14 +249,16 @@
         }
         self.forget_runs(now);
         self.keys.expire(now);
-        let stage = drain::stage(self.notice, self.left(), now);
         if stage >= Stage::Closed && self.close.take().is_some() {
             self.outlets.no_more(now);
         }
-        let settled = self.outlets.settled() && self.reqs.values().all(|r| r.answered);
-        stage == Stage::Over
-            || stage == Stage::Ended && settled
-            || stage == Stage::Closed && self.outlets.count() == 0 && settled
+        if stage >= Stage::Ended {
+            self.outlets.close_idle();
+        }
+        // The end of the process is a close of every connection at once: it waits until each has written its answers
+        // and read what its sidecar still sent, or its time is over.
+        let answered = self.reqs.values().all(|r| r.answered);
+        stage == Stage::Over || stage >= Stage::Closed && self.outlets.count() == 0 && answered
     }
 
     /// From the notice to leave until the end.
@@ -273,16 +288,17 @@
             }
             Input::Req(conn, req) => self.arrived(now, conn, req),
             Input::Surplus(conn, stream) => {
-                self.outlets.took(now, conn);
+                let _ = self.outlets.took(now, conn);
                 self.outlets.send(now, conn, &Reply::Shed { stream, after_ms: 0.0, last: false });
             }
             Input::Unfit(conn, stream, why) => {
                 tracing::debug!(conn = conn.0, why, "a req that cannot be run");
                 self.tally.unfit += 1;
-                self.outlets.took(now, conn);
+                let _ = self.outlets.took(now, conn);
                 self.outlets.send(now, conn, &Reply::Errored(stream));
             }
             Input::Check { conn, stream, deep } => self.checked(now, conn, stream, deep),
+            Input::Cancelled(conn, stream) => self.cancelled(now, conn, stream),
             Input::Finished(conn) => self.outlets.end(conn),
             Input::Malformed(conn, why) => {
                 tracing::debug!(conn = conn.0, why, "a malformed frame; the connection is closed");
@@ -323,6 +339,7 @@
                 self.carry_all(now, results);
                 self.works.leaving(now, now + self.left().times(PAGES_PART));
                 self.outlets.no_more(now);
+                self.next_chores = now;
             }
         }
     }
@@ -392,6 +409,8 @@
             Err(wrong) => tracing::error!(wrong, "the settings no longer give a decider"),
         }
         self.works.forget_all(now);
+        // What is open comes anew, and enters the table anew: the first try of each key that is left is the first.
+        self.keys = Keys::default();
         self.reqs.retain(|_, r| !r.answered);
         self.wires = self.reqs.values().map(|r| r.wire).collect();
         self.wakes.clear();
@@ -402,16 +421,12 @@
         }
         let open: Vec<_> = self.reqs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect();
         for id in open {
-            let Some(entry) = self.reqs.get_mut(&id) else { continue };
-            entry.running = false;
-            entry.joined = None;
-            let new = Arrival { lay: now - entry.arrived, unread: Time(0), ..entry.new };
-            let results = self.decider.arrival(now, new);
-            self.carry_all(now, results);
+            self.rejoin(now, id);
         }
     }
 
     fn checked(&mut self, now: Time, conn: ConnId, stream: Stream, deep: bool) {
+        let _ = self.outlets.took(now, conn);
         match self.health.answer(deep, self.works.is_up()) {
             Some(good) => self.outlets.send(now, conn, &Reply::Checked { stream, good }),
             None => match self.works.engine.as_mut().and_then(work::engine::Runs::test) {
@@ -432,7 +447,13 @@
     }
 
     fn arrived(&mut self, now: Time, conn: ConnId, req: Req) {
-        self.outlets.took(now, conn);
+        // Guards effects: what was read on a connection that carries no answer any more would run for nobody, and
+        // its sidecar, which saw the connection fail, may send it again elsewhere.
+        if !self.outlets.took(now, conn) {
+            tracing::debug!(conn = conn.0, id = ?req.id, "a req on a connection that was given up");
+            self.tally.unfit += 1;
+            return;
+        }
         if self.wires.contains(&req.id) {
             tracing::debug!(conn = conn.0, id = ?req.id, "an id that is open already");
             self.tally.unfit += 1;
@@ -442,16 +463,31 @@
         let id = self.fresh_id();
         let kind = self.config.kinds[req.handler.0];
         let reads = kind == Kind::Replayable && self.config.fresh > Time(0);
-        let key: Option<Key> = req.mark.map(|mark| (req.handler, mark));
+        // A uniqued req is another try of one of its own customer; a read is shared by class and key alone.
+        let customer = req.customer.filter(|_| kind == Kind::Uniqued);
+        let key: Option<Key> = req.mark.map(|mark| (req.handler, customer, mark));
         let key = key.filter(|_| reads || kind == Kind::Uniqued);
-        let repeats = key.as_ref().and_then(|key| self.keys.repeats(now, key));
-        if let (true, None, Some(key)) = (reads, repeats, &key) {
-            self.keys.keep(id, key.clone(), None);
-        }
         // A stamp teaches how long reqs lie unread where the engine has known a req of that connection; else no
         // more than what was learned so does.
         let lay = since_unix(req.at);
         let proven = self.outlets.proven(conn);
+        let repeats = key.as_ref().and_then(|key| self.keys.repeats(now, now - lay, key));
+        // Guards results against clients that copy a mark: a repeat takes its answer from the table, where no engine
+        // says whether it knows the req. So it takes it only on the connection of the open first try, or on one of
+        // which the engine has known a req. A read on any other runs by itself; a uniqued req, which may not run
+        // again, is errored.
+        let same = |of: &ReqId| self.reqs.get(of).is_some_and(|first| first.conn == conn);
+        let copied = repeats.is_some_and(|of| !proven && !same(&of));
+        if copied && kind == Kind::Uniqued {
+            tracing::debug!(conn = conn.0, id = ?req.id, "a repeat from where the engine has known no req");
+            self.tally.unfit += 1;
+            self.outlets.send(now, conn, &Reply::Errored(req.stream));
+            return;
+        }
+        let (repeats, key) = if copied { (None, None) } else { (repeats, key) };
+        if repeats.is_none() {
+            self.keep(now, id, kind, key.as_ref());
+        }
         self.lately = if proven { lay } else { self.lately };
         let unread = lay.min(self.lately);
         let new = Arrival {
@@ -465,7 +501,7 @@
             kb: req.kb,
             lay,
             unread,
-            wait: None,
+            wait: req.wait.map(|ms| (span_of_ms(ms) - lay).max(Time(0))),
         };
         self.wires.insert(req.id);
         let entry = Entry {
@@ -485,6 +521,21 @@
         self.carry_all(now, results);
     }
 
+    /// Enters a req that repeats none in the table. Guards effects: the window opens when the try that runs reached
+    /// the machine, and stamps may be odd, so it is taken to open now at the earliest. It does not rest on whether the
+    /// decider still books an entry: of two tries that lay unread past a short window each would run.
+    fn keep(&mut self, now: Time, id: ReqId, kind: Kind, key: Option<&Key>) {
+        let Some(key) = key else { return };
+        let (until, tail) = match kind {
+            Kind::Uniqued => {
+                let window = self.config.windows[key.0 .0];
+                (Some(now + window + SLACK), span_of_ms(self.config.longest))
+            }
+            _ => (None, Time(0)),
+        };
+        self.keys.keep(id, key.clone(), until, tail);
+    }
+
     fn worked(&mut self, now: Time, event: Event) {
         if let Some(results) = self.told(now, event) {
             self.carry_all(now, results);
@@ -494,7 +545,12 @@
     /// What a kind of work tells, and what the decider makes of it.
     fn told(&mut self, now: Time, event: Event) -> Option<Results> {
         match event {
-            Event::Ended(id, end, output) => return self.run_over(now, id, end, output),
+            Event::Ended(id, end, output) => {
+                let waiting = if end == RunEnd::Void { self.never_started(id) } else { Vec::new() };
+                let results = self.run_over(now, id, end, output);
+                waiting.into_iter().for_each(|id| self.rejoin(now, id));
+                return results;
+            }
             Event::CallWanted(id) => return Some(self.decider.call_wanted(now, id)),
             Event::CallEnded(id, end) => return Some(self.decider.call_ended(now, id, end)),
             Event::Gauges(busy) => {
@@ -521,10 +577,44 @@
         let lost = self.reqs.iter().filter(|(_, e)| e.running && e.answered && now - e.arrived > long);
         for id in lost.map(|(id, _)| *id).collect::<Vec<_>>() {
             tracing::warn!("a run that never ended is given up");
-            self.worked(now, Event::Ended(id, RunEnd::Void, Output::default()));
+            // It may have run, so its entry stays.
+            if let Some(results) = self.run_over(now, id, RunEnd::Void, Output::default()) {
+                self.carry_all(now, results);
+            }
         }
     }
 
+    /// Nothing was started for a req, since the engine does not know it: it leaves nothing for its repeats. Guards
+    /// marks against clients that use them first: those that joined it are not errored for it.
+    fn never_started(&mut self, id: ReqId) -> Vec<ReqId> {
+        self.keys.release(id);
+        let waiting = self.reqs.iter_mut().filter(|(_, e)| !e.answered && e.joined == Some(id));
+        waiting.map(|(id, entry)| (*id, entry.joined = None).0).collect()
+    }
+
+    /// A req whose first try was none comes anew: as the first try, or as a repeat of the next.
+    fn rejoin(&mut self, now: Time, id: ReqId) {
+        let Some(entry) = self.reqs.get(&id) else { return };
+        let (kind, key) = (self.config.kinds[entry.new.handler.0], entry.key.clone());
+        let repeats = key.as_ref().and_then(|key| self.keys.repeats(now, entry.arrived, key));
+        if repeats.is_none() {
+            self.keep(now, id, kind, key.as_ref());
+        }
+        self.again(now, id, repeats);
+    }
+
+    /// Hands an open req to the decider once more, as it stands now.
+    fn again(&mut self, now: Time, id: ReqId, repeats: Option<ReqId>) {
+        let Some(entry) = self.reqs.get_mut(&id) else { return };
+        entry.running = false;
+        entry.joined = None;
+        let lay = now - entry.arrived;
+        let wait = entry.new.wait.map(|wait| (wait + entry.new.lay - lay).max(Time(0)));
+        entry.new = Arrival { lay, unread: Time(0), wait, repeats, ..entry.new };
+        let results = self.decider.arrival(now, entry.new);
+        self.carry_all(now, results);
+    }
+
     /// A run has ended: what is still owed goes out first, then the decider hears of it.
     fn run_over(&mut self, now: Time, id: ReqId, end: RunEnd, output: Output) -> Option<Results> {
         let entry = self.reqs.get_mut(&id).filter(|e| e.running)?;
@@ -573,6 +663,17 @@
         }
     }
 
+    /// The sidecar waits for a req no longer: it is answered at once, and the decider told. One with a key goes on, for
+    /// its repeats.
+    fn cancelled(&mut self, now: Time, conn: ConnId, stream: Stream) {
+        self.outlets.heard(now, conn);
+        let of = |e: &Entry| e.conn == conn && e.stream == stream && !e.answered && e.key.is_none();
+        let Some(id) = self.reqs.iter().find(|(_, e)| of(e)).map(|(id, _)| *id) else { return };
+        self.answer(now, id, Reply::Errored(stream));
+        let results = self.decider.caller_gone(now, id);
+        self.carry_all(now, results);
+    }
+
     /// Nobody hears what a lost connection still owes: the decider is told of all that was open on it. A req with
     /// a key goes on, for its repeats.
     fn gone(&mut self, now: Time, conn: ConnId) {
@@ -624,11 +725,7 @@
             self.answer(now, shed.id, reply);
             self.never_ran(now, shed.id);
         }
-        for (id, span) in results.keep {
-            if let Some(key) = self.reqs.get(&id).and_then(|e| e.key.clone()) {
-                self.keys.keep(id, key, Some(now + span));
-            }
-        }
+        // What the decider keeps it books; the entry itself stands since the req was read.
         results.release.into_iter().for_each(|id| self.keys.release(id));
         for id in results.start {
             let Some(entry) = self.reqs.get_mut(&id) else { continue };
@@ -640,7 +737,7 @@
                 customer: entry.new.customer,
                 body: entry.body.clone(),
                 target: entry.arrived + target,
-                due: entry.arrived + timeout,
+                due: entry.due(timeout),
             };
             let told = self.works.start(now, id, &job);
             self.events.extend(told);
@@ -671,7 +768,7 @@
 
     /// A req that was answered before it ran leaves nothing for its repeats.
     fn never_ran(&mut self, now: Time, id: ReqId) {
-        self.keys.ended(now, id, None, Time(0), self.room.results());
+        self.keys.release(id);
         self.settle_joined(now, id, None);
     }
 
--- a/crates/server/src/input.rs
+++ b/crates/server/src/input.rs
@@ -33,6 +33,8 @@
         stream: Stream,
         deep: bool,
     },
+    /// The sidecar waits for this req no longer.
+    Cancelled(ConnId, Stream),
     /// The sidecar has sent its last.
     Finished(ConnId),
     Malformed(ConnId, &'static str),
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -1,5 +1,5 @@
 //! One sidecar's connection: reads frames and hands them to the desk, writes what the desk answers.
-use crate::answer::{self, Parcel};
+use crate::answer::{self, Parcel, Progress, Written};
 use crate::input::{ConnId, Input};
 use crate::room::Room;
 use crate::wire::sidecar::{Decoder, Message, Names};
@@ -7,7 +7,6 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
-use std::cell::Cell;
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
@@ -21,9 +20,9 @@
 const SMALL: usize = 8_192;
 /// From opening, or from a frame's first byte, to a frame's last.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
-/// After a fault was told, what the peer still sends is read and thrown away: a close with bytes unread resets
-/// the connection, and may destroy the word. It ends with the peer, when nothing has come for the first of these,
-/// at the second, or when there is no room.
+/// After its half of a connection is closed, what the peer still sends is read and thrown away: a close with bytes
+/// unread resets the connection, and may destroy answers that the peer has not taken. It ends with the peer, when
+/// nothing has come for the first of these, at the second, or when there is no room.
 const LINGER_QUIET: Duration = Duration::from_millis(250);
 const LINGER: Duration = Duration::from_millis(2_000);
 
@@ -32,6 +31,8 @@
     pub names: Rc<Names>,
     pub room: Rc<Room>,
     pub desk: Sender<Input>,
+    /// How long a sidecar may take nothing of what is written to it.
+    pub patience: Duration,
 }
 
 /// How a sidecar stopped sending.
@@ -48,23 +49,22 @@
     if front.desk.send(Input::Opened(conn, outlet)).await.is_err() {
         return;
     }
-    let (open, lingers) = (Cell::new(0), Cell::new(false));
+    let progress = Progress::default();
     let over = parcels.clone();
     let reading = async {
-        let last = match read(conn, &stream, front, &open, &over).await {
-            Ok(End::Gone) => return,
+        let last = match read(conn, &stream, front, &progress, &over).await {
+            Ok(End::Gone) => return Written::Broken,
             Ok(End::Finished) => Input::Finished(conn),
-            Err(Malformed(why)) => {
-                lingers.set(true);
-                Input::Malformed(conn, why)
-            }
+            Err(Malformed(why)) => Input::Malformed(conn, why),
         };
         let _ = front.desk.send(last).await;
         // The writer ends the connection once the desk has settled what is open.
-        std::future::pending::<()>().await
+        std::future::pending().await
     };
-    reading.or(answer::write(&stream, parcels, &open)).await;
-    if stream.get_ref().shutdown(Shutdown::Write).is_ok() && lingers.get() {
+    let ended = reading.or(answer::write(&stream, parcels, &progress, front.patience)).await;
+    drop(over);
+    // From here on nothing that comes is handed on: what is read after the half-close could not be answered.
+    if ended == Written::All && stream.get_ref().shutdown(Shutdown::Write).is_ok() {
         let late = async {
             Timer::after(LINGER).await;
         };
@@ -85,15 +85,15 @@
 
 /// Reads until the sidecar ends its side, or the desk has let it go.
 async fn read(
-    conn: ConnId, stream: &Async<TcpStream>, front: &Front, open: &Cell<usize>, over: &Receiver<Parcel>,
+    conn: ConnId, stream: &Async<TcpStream>, front: &Front, progress: &Progress, over: &Receiver<Parcel>,
 ) -> Result<End, Malformed> {
     let mut decoder = Decoder::new(front.names.clone());
     let mut part = front.room.part();
     let mut whole_by = Some(Instant::now() + WHOLE_WITHIN);
     loop {
-        let some = stream.read_with(|stream| {
+        let mut take = |stream: &TcpStream| {
             front.room.read(|bytes| (&mut &*stream).read(bytes), |bytes| decoder.feed(bytes))
-        });
+        };
         let late = async {
             match whole_by {
                 Some(by) => drop(Timer::at(by).await),
@@ -101,11 +101,12 @@
             }
             Err(io::ErrorKind::TimedOut.into())
         };
-        let count = match some.or(late).await {
-            Ok(count) => count,
+        let count = match stream.read_with(&mut take).or(late).await {
+            // What came in the same moment counts, though the timer was seen first.
             Err(e) if e.kind() == io::ErrorKind::TimedOut && whole_by.is_some() => {
-                return Err(Malformed("no whole frame in time"));
+                take(stream.get_ref()).map_err(|_| Malformed("no whole frame in time"))?
             }
+            Ok(count) => count,
             Err(_) => return Ok(End::Gone),
         };
         if count == 0 {
@@ -124,18 +125,21 @@
         while let Some(message) = decoder.message()? {
             any = true;
             let input = match message {
-                Message::Req(req) if open.get() < MOST_OPEN => Input::Req(conn, req),
+                Message::Req(req) if progress.open.get() < MOST_OPEN => Input::Req(conn, req),
                 Message::Req(req) => Input::Surplus(conn, req.stream),
                 Message::Unfit(stream, why) => Input::Unfit(conn, stream, why),
                 Message::Check { stream, deep } => Input::Check { conn, stream, deep },
+                Message::Cancel(stream) => Input::Cancelled(conn, stream),
             };
-            if !matches!(input, Input::Check { .. }) {
-                open.set(open.get() + 1);
+            if !matches!(input, Input::Check { .. } | Input::Cancelled(..)) {
+                progress.open.set(progress.open.get() + 1);
             }
+            progress.read.set(progress.read.get() + 1);
             if front.desk.send(input).await.is_err() {
                 return Ok(End::Finished);
             }
         }
+        progress.midway.set(decoder.midway() > 0);
         whole_by = match (decoder.midway(), any) {
             (0, true) => None,
             (_, true) => Some(Instant::now() + WHOLE_WITHIN),
--- a/crates/server/src/keys.rs
+++ b/crates/server/src/keys.rs
@@ -1,11 +1,13 @@
-//! Which reqs repeat which: the table behind kept keys and shared answers. The decider says what stays.
+//! Which reqs repeat which: the table behind idempotency keys and shared answers. What a try repeats goes by the time
+//! at which it came to the machine, however late it is read: so an entry outlives its dedup window by a tail, in
+//! which only tries that came within the window still find it.
 use crate::work::Output;
-use cottondyke_decide::types::{HandlerId, ReqId, Time};
+use cottondyke_decide::types::{CustomerId, HandlerId, ReqId, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// What repeats have in common: their handler and their mark.
-pub type Key = (HandlerId, Box<str>);
+/// What repeats have in common: their handler, their customer where that counts, and their mark.
+pub type Key = (HandlerId, Option<CustomerId>, Box<str>);
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -17,8 +19,10 @@
 #[derive(Debug)]
 struct Entry {
     key: Key,
-    /// When the entry ends; an open read's has no end yet.
+    /// What came to the machine before this repeats it; an open read's entry has no end yet.
     until: Option<Time>,
+    /// How long after that it is still here.
+    tail: Time,
     outcome: Outcome,
 }
 
@@ -31,14 +35,17 @@
 }
 
 impl Keys {
-    /// The live entry that a req with this key repeats.
-    pub fn repeats(&mut self, now: Time, key: &Key) -> Option<ReqId> {
+    /// The entry that a req with this key, which came to the machine at `arrived`, repeats.
+    pub fn repeats(&mut self, now: Time, arrived: Time, key: &Key) -> Option<ReqId> {
         self.expire(now);
-        self.by_key.get(key).copied()
+        let id = self.by_key.get(key)?;
+        let within = |e: &Entry| e.until.is_none_or(|until| arrived < until);
+        self.entries.get(id).is_some_and(within).then_some(*id)
     }
 
-    /// Keeps a req's entry until `until`, or while it is open. The entry moves here from an older req.
-    pub fn keep(&mut self, id: ReqId, key: Key, until: Option<Time>) {
+    /// Keeps a req's entry for what comes before `until`, or while it is open, and for `tail` longer for what of
+    /// that is read late. The entry moves here from an older req.
+    pub fn keep(&mut self, id: ReqId, key: Key, until: Option<Time>, tail: Time) {
         let outcome = self.entries.get(&id).map_or(Outcome::Open, |e| e.outcome.clone());
         if let Some(older) = self.by_key.insert(key.clone(), id) {
             self.drop_entry(older);
@@ -47,9 +54,9 @@
         if let Outcome::Done(Some(result)) = &outcome {
             self.bytes += result.size();
         }
-        self.entries.insert(id, Entry { key, until, outcome });
+        self.entries.insert(id, Entry { key, until, tail, outcome });
         if let Some(until) = until {
-            self.ends.insert((until, id), ());
+            self.ends.insert((until + tail, id), ());
         }
     }
 
@@ -65,7 +72,7 @@
             self.bytes -= result.size();
         }
         if let Some(until) = entry.until {
-            self.ends.remove(&(until, id));
+            self.ends.remove(&(until + entry.tail, id));
         }
         Some(entry)
     }
@@ -83,7 +90,7 @@
         if read {
             if went_well && fresh > Time(0) {
                 entry.until = Some(now + fresh);
-                self.ends.insert((now + fresh, id), ());
+                self.ends.insert((now + fresh + entry.tail, id), ());
             } else {
                 self.release(id);
             }
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,6 +1,6 @@
 //! The program: `serve`, `check`, `version`.
 use cottondyke::sources::Sources;
-use cottondyke::{config::Config, fleet, serve};
+use cottondyke::{config::Config, drain, fleet, serve};
 use lexopt::prelude::*;
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
@@ -80,6 +80,12 @@
         "help" => println!("{HELP}"),
         "version" => println!("cottondyke {}", env!("CARGO_PKG_VERSION")),
         "check" | "serve" => {
+            // First of all: until this stands, a signal has its default action, and a SIGHUP that comes while the
+            // files are read would end the program.
+            let signals = match (usage.command == "serve").then(drain::signals).transpose() {
+                Ok(signals) => signals,
+                Err(wrong) => return fail(&format!("cannot watch for signals: {wrong}"), 1),
+            };
             let mut sources = usage.sources;
             sources.config =
                 sources.config.or_else(|| std::env::var("GW_CONFIG").ok()).filter(|p| !p.is_empty());
@@ -87,13 +93,13 @@
                 Ok(read) => read,
                 Err(wrong) => return fail(&wrong, 2),
             };
-            if usage.command == "check" {
+            let Some(signals) = signals else {
                 print!("{}", checked(&config));
                 return ExitCode::SUCCESS;
-            }
+            };
             let log = tracing_subscriber::fmt().with_max_level(usage.log).with_ansi(false);
             log.with_writer(std::io::stderr).init();
-            if let Err(wrong) = serve::serve(sources, config) {
+            if let Err(wrong) = serve::serve(signals, sources, config) {
                 return fail(&wrong, 1);
             }
         }
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -7,17 +7,16 @@
 use crate::sources::Sources;
 use crate::time::Clock;
 use crate::wire::sidecar::Names;
-use crate::{accept, drain, fleet, report, run};
+use crate::{accept, answer, drain, fleet, report, run};
 use async_executor::{LocalExecutor, Task};
+use async_signal::Signals;
 use futures_lite::FutureExt;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 /// Serves until the server has left; an error says in one line why it could not.
-/// `sources` are read anew on SIGHUP.
-pub fn serve(sources: Sources, config: Config) -> Result<(), String> {
-    // First of all: until this stands, a signal has its default action.
-    let signals = drain::signals().map_err(|e| format!("cannot watch for signals: {e}"))?;
+/// `sources` are read anew on SIGHUP; `signals` have been caught since before they were first read.
+pub fn serve(signals: Signals, sources: Sources, config: Config) -> Result<(), String> {
     let listener =
         accept::bind(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
@@ -37,7 +36,8 @@
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(name = config.name, %listen, "serving");
 
-    let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone() };
+    let patience = answer::patience(names.longest_ms);
+    let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone(), patience };
     let accepting = accept::listen(executor.clone(), listener, Rc::new(front), closed);
     let accepting = executor.spawn(accepting);
     let (desk_of, name) = (to_desk.clone(), config.name.clone());
--- a/crates/server/src/wire/sidecar.rs
+++ b/crates/server/src/wire/sidecar.rs
@@ -11,10 +11,13 @@
 const MOST_KB: f64 = 2_000.0;
 /// Work that no req is meant to be: this many times the longest client timeout, on one core.
 const MOST_COST: f64 = 4.0;
+/// The wait that no caller means: this many times the longest client timeout.
+const MOST_WAIT: f64 = 4.0;
 /// Streams noted ahead of a gap in their numbers; past that the oldest gap counts as used.
 const MOST_AHEAD: usize = 1_024;
 const REQUEST: u8 = 1;
 const ANSWER: u8 = 2;
+const CANCEL: u8 = 3;
 const CHECK: u8 = 4;
 const CHECKED: u8 = 5;
 const NO_MORE: u8 = 6;
@@ -45,6 +48,8 @@
     /// When it came to the machine, in Unix milliseconds.
     pub at: u64,
     pub retry: bool,
+    /// How long its caller waited still when it came to the machine, in milliseconds, where callers tell that.
+    pub wait: Option<f64>,
     /// Expected work in milliseconds.
     pub hint: Option<f64>,
     pub kb: f64,
@@ -62,6 +67,8 @@
         stream: Stream,
         deep: bool,
     },
+    /// The sidecar waits for this req no longer.
+    Cancel(Stream),
 }
 
 #[derive(Debug)]
@@ -104,6 +111,7 @@
                 let deep = fields(payload).map(|(fields, _)| fields.contains(&("deep", "1")));
                 Message::Check { stream, deep: deep.map_err(Malformed)? }
             }
+            CANCEL if stream.0 > 0 => Message::Cancel(stream),
             _ => return Err(Malformed("a frame of unknown type")),
         };
         self.pending.take(HEAD + length);
@@ -184,6 +192,10 @@
     if cost.is_some_and(|ms| ms > names.longest_ms * MOST_COST) {
         return Err("cost is out of bounds");
     }
+    let wait = number(one("wait", "wait repeated")?, "wait is not a number")?;
+    if wait.is_some_and(|ms| ms > names.longest_ms * MOST_WAIT) {
+        return Err("wait is out of bounds");
+    }
     let mark = match one("once", "once repeated")? {
         None => one("key", "key repeated")?,
         once => once,
@@ -198,6 +210,7 @@
         customer: customer.map(CustomerId),
         at: at.parse().map_err(|_| "at is not a number")?,
         retry,
+        wait,
         hint: cost.filter(|ms| *ms > 0.0),
         kb,
         mark: mark.map(Into::into),
@@ -230,6 +243,11 @@
         matches!(self, Reply::Done(..) | Reply::Shed { .. } | Reply::Errored(_))
     }
 
+    /// Whether it answers something that came, be it a req or a check.
+    pub fn answers(&self) -> bool {
+        self.settles() || matches!(self, Reply::Checked { .. })
+    }
+
     /// Appends the frame; `say` is the free value from this answer on.
     pub fn encode(&self, say: Option<f64>, to: &mut Vec<u8>) {
         let own = |fields: &mut Vec<(&'static str, String)>| {
--- /dev/null
+++ b/crates/server/tests/leaving.rs
@@ -0,0 +1,162 @@
+//! The desk at the end of the process, with the test in the place of its connections, so that it says when an answer
+//! that was handed over is written.
+use async_executor::LocalExecutor;
+use cottondyke::answer::Parcel;
+use cottondyke::config::Config;
+use cottondyke::desk::Desk;
+use cottondyke::input::{ConnId, Input, Lines};
+use cottondyke::room::Room;
+use cottondyke::time::Clock;
+use cottondyke::wire::engine::{Command, Notice};
+use cottondyke::wire::sidecar::{Req, Stream};
+use cottondyke::wire::WireId;
+use cottondyke_decide::types::HandlerId;
+use futures_lite::{future, FutureExt};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const STOP: u64 = 1_000;
+
+struct Rig {
+    executor: Rc<LocalExecutor<'static>>,
+    inputs: async_channel::Sender<Input>,
+    /// What the engine is told.
+    commands: async_channel::Receiver<Command>,
+    engine: async_channel::Sender<Command>,
+}
+
+impl Rig {
+    /// Runs `test` beside a desk; true where the desk left before the test was through.
+    fn run<F: std::future::Future<Output = ()>>(test: impl FnOnce(Rig) -> F) -> bool {
+        let mut conf: serde_json::Value =
+            serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+        conf["stop_ms"] = STOP.into();
+        conf["settings"]["classes"][0]["effect"] = "once".into();
+        let config = Rc::new(Config::parse(&conf.to_string()).unwrap());
+        let clock = Clock::start();
+        let decider = config.decider(clock.now()).unwrap();
+        let executor = Rc::new(LocalExecutor::new());
+        let (inputs, desk_inputs) = async_channel::unbounded();
+        let (engine, commands) = async_channel::unbounded();
+        let (news, _news) = async_channel::unbounded();
+        let (moves, _moves) = async_channel::unbounded();
+        let (close, _closed) = async_channel::bounded(1);
+        let lines = Lines { news, engine: moves, close };
+        let room = Room::new(100, 1 << 20);
+        let desk = Desk::new(config, decider, clock, executor.clone(), inputs.clone(), room, lines, None);
+        let rig = Rig { executor: executor.clone(), inputs, commands, engine };
+        let leaves = async {
+            desk.run(desk_inputs).await;
+            true
+        };
+        let tests = async {
+            test(rig).await;
+            false
+        };
+        async_io::block_on(executor.run(leaves.or(tests)))
+    }
+
+    fn tell(&self, input: Input) {
+        self.inputs.try_send(input).unwrap();
+    }
+
+    /// The engine is there, and has answered the question that fences off what was before.
+    async fn engine_up(&self) {
+        self.tell(Input::EngineUp { age_ms: 1.0, outlet: self.engine.clone() });
+        let Ok(Command::Stat(tag)) = self.commands.recv().await else { panic!("the fence comes first") };
+        self.tell(Input::Notice(Notice::Stats { tag, gauges: Vec::new() }));
+    }
+
+    fn open(&self, conn: u64, most: usize) -> async_channel::Receiver<Parcel> {
+        let (outlet, parcels) = async_channel::bounded(most);
+        self.tell(Input::Opened(ConnId(conn), outlet));
+        parcels
+    }
+
+    fn ask(&self, conn: u64, stream: u32) {
+        let id = WireId::new(&format!("{stream:016x}")).unwrap();
+        let at = cottondyke_standin::peers::unix_ms();
+        let req = Req {
+            stream: Stream(stream),
+            id,
+            handler: HandlerId(0),
+            customer: None,
+            at,
+            retry: false,
+            wait: None,
+            hint: None,
+            kb: 1.0,
+            mark: None,
+            body: Vec::new(),
+        };
+        self.tell(Input::Req(ConnId(conn), req));
+    }
+
+    /// Lets the desk do all that it can do now.
+    async fn settle(&self) {
+        for _ in 0..100 {
+            future::yield_now().await;
+            while self.executor.try_tick() {}
+        }
+    }
+
+    /// Those that were told to run.
+    fn runs(&self) -> usize {
+        std::iter::from_fn(|| self.commands.try_recv().ok())
+            .filter(|command| matches!(command, Command::Run { .. }))
+            .count()
+    }
+}
+
+/// Guards answers that left the desk's queue and are not written yet: the process ends when they are, or when its
+/// time is over, not as soon as the queue is empty.
+#[test]
+fn the_end_waits_for_an_answer_that_is_being_written() {
+    let start = Instant::now();
+    let left = Rig::run(|rig| async move {
+        let parcels = rig.open(1, 100);
+        rig.ask(1, 1);
+        rig.tell(Input::Leave);
+        // The writer takes all that is handed over, and has written none of it: the connection stands.
+        while parcels.recv().await.is_ok() {}
+        future::pending().await
+    });
+    let end = Duration::from_millis(STOP).mul_f64(0.985);
+    assert!(left && start.elapsed() >= end, "it ended after {:?}", start.elapsed());
+}
+
+/// Guards the time of leaving: the end comes as soon as the last connection has written what it had.
+#[test]
+fn the_end_comes_with_the_last_connection() {
+    let start = Instant::now();
+    let left = Rig::run(|rig| async move {
+        let parcels = rig.open(1, 100);
+        rig.tell(Input::Leave);
+        while !matches!(parcels.recv().await, Ok(Parcel::Close { .. })) {}
+        rig.tell(Input::Closed(ConnId(1)));
+        future::pending().await
+    });
+    assert!(left && start.elapsed() >= Duration::from_millis(STOP).mul_f64(0.88));
+}
+
+/// Guards effects: a req that waits for the desk as its connection is given up can carry no answer. It must not run,
+/// since its sidecar, which sees the connection fail, may send it again elsewhere.
+#[test]
+fn a_req_on_a_connection_that_was_given_up_does_not_run() {
+    let left = Rig::run(|rig| async move {
+        rig.engine_up().await;
+        let _reads_nothing = rig.open(1, 1);
+        let _other = rig.open(2, 100);
+        // The second answer finds the queue full: the connection is dropped, with a req behind.
+        for stream in 1..=2 {
+            rig.tell(Input::Check { conn: ConnId(1), stream: Stream(stream), deep: false });
+        }
+        rig.ask(1, 3);
+        rig.settle().await;
+        assert_eq!(rig.runs(), 0);
+        rig.ask(2, 4);
+        rig.settle().await;
+        assert_eq!(rig.runs(), 1, "others are served");
+    });
+    assert!(!left);
+}
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -1,6 +1,7 @@
 //! The real binary against small stand-ins on loopback.
 mod calls;
 mod conns;
+mod crossings;
 mod engine;
 mod leaving;
 mod pages;
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -127,6 +127,35 @@
     }
 }
 
+/// The program as it starts, with a file that is not there yet.
+pub struct Started {
+    child: Child,
+    log: Receiver<String>,
+}
+
+impl Started {
+    pub fn new(path: &std::path::Path) -> Self {
+        let mut child = program(&["serve", "--config", path.to_str().unwrap()]).spawn().unwrap();
+        let log = lines(&mut child);
+        Started { child, log }
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
+    pub fn logged(&self, words: &str) -> String {
+        logs(&self.log, words)
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// The program on its own, with a script that is removed at the end.
 pub struct Alone {
     child: Child,
@@ -170,11 +199,17 @@
     }
 }
 
-/// Where a started program listens, and what it logs from then on.
-fn served(child: &mut Child) -> (SocketAddr, Receiver<String>) {
+/// What a started program logs.
+fn lines(child: &mut Child) -> Receiver<String> {
     let (lines, log) = channel();
     let stderr = BufReader::new(child.stderr.take().unwrap());
     std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
+    log
+}
+
+/// Where a started program listens, and what it logs from then on.
+fn served(child: &mut Child) -> (SocketAddr, Receiver<String>) {
+    let log = lines(child);
     let serving = |line: String| line.split_once("listen=").map(|(_, addr)| addr.trim().parse().unwrap());
     let addr = log.iter().find_map(serving).expect("the server says where it listens");
     (addr, log)
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The parsers, fed every split and fuzzed bytes; and the small parts that need no socket.
 
-use cottondyke::answer::Outlets;
+use cottondyke::answer::{Outlets, Parcel};
 
 use cottondyke::drain::{stage, Stage};
 use cottondyke::health::Health;
@@ -258,14 +258,26 @@
     /// The table of repeats knows an entry until its end and not after, and keeps no more than it was told.
     fn keys_end_when_they_should(spans: Vec<u8>) -> bool {
         let mut keys = Keys::default();
-        let key = |n: usize| (HandlerId(0), n.to_string().into_boxed_str());
+        let key = |n: usize| (HandlerId(0), None, n.to_string().into_boxed_str());
         for (n, span) in spans.iter().enumerate() {
-            keys.keep(ReqId(n as u32), key(n), Some(Time(i64::from(*span))));
+            keys.keep(ReqId(n as u32), key(n), Some(Time(i64::from(*span))), Time(0));
         }
         (0..=255).all(|now| spans.iter().enumerate().all(|(n, span)| {
-            keys.repeats(Time(now), &key(n)).is_some() == (i64::from(*span) > now)
+            keys.repeats(Time(now), Time(now), &key(n)).is_some() == (i64::from(*span) > now)
         }))
     }
+
+    /// A try that came within the window finds its entry however late it is read, within the tail; one that came
+    /// after it does not.
+    fn keys_go_by_the_time_of_coming(span: u8, tail: u8, read: u16, lay: u16) -> bool {
+        let (span, tail, read) = (i64::from(span), i64::from(tail), i64::from(read % 600));
+        let arrived = read - i64::from(lay % 600).min(read);
+        let mut keys = Keys::default();
+        let key = (HandlerId(0), None, "mark".into());
+        keys.keep(ReqId(1), key.clone(), Some(Time(span)), Time(tail));
+        let found = keys.repeats(Time(read), Time(arrived), &key).is_some();
+        found == (arrived < span && read < span + tail)
+    }
 }
 
 /// Guards memory: results kept for repeats are bounded, and the oldest go first.
@@ -274,7 +286,7 @@
     let mut keys = Keys::default();
     let result = Rc::new(Output::whole(vec![0; 1 << 20]));
     for n in 0..40 {
-        keys.keep(ReqId(n), (HandlerId(0), n.to_string().into()), Some(Time(1_000)));
+        keys.keep(ReqId(n), (HandlerId(0), None, n.to_string().into()), Some(Time(1_000)), Time(0));
         keys.ended(Time(0), ReqId(n), Some(result.clone()), Time(0), 16 << 20);
     }
     let held = |n| matches!(keys.outcome(ReqId(n)), Some(Outcome::Done(Some(_))));
@@ -291,16 +303,25 @@
     }
     outlets.took(Time(10), ConnId(0));
     outlets.send(Time(10), ConnId(0), &Reply::Errored(Stream(1)));
+    // What each connection was handed since the last look: replies, and whether it is to close.
+    let handed = || -> Vec<(usize, bool)> {
+        let of = |parcels: &async_channel::Receiver<Parcel>| {
+            let all: Vec<_> = std::iter::from_fn(|| parcels.try_recv().ok()).collect();
+            let closes = all.iter().filter(|p| matches!(p, Parcel::Close { .. })).count();
+            (all.len() - closes, closes > 0)
+        };
+        conns.iter().map(|(_, parcels)| of(parcels)).collect()
+    };
     outlets.make_room(Time(5_500), 5, 3);
-    let open: Vec<_> =
-        conns.iter().map(|(_, parcels)| !parcels.is_closed() && parcels.sender_count() > 1).collect();
-    assert_eq!(open, [true, false, false, true, true]);
+    assert_eq!(handed(), [(1, false), (1, true), (1, true), (0, false), (0, false)]);
     // Closing ones count as going already; the idle one is told, and closed after what may cross.
     outlets.make_room(Time(5_500), 5, 3);
+    assert_eq!(handed(), [(0, false); 5]);
+    (1..=2).for_each(|n| outlets.closed(ConnId(n)));
     outlets.make_room(Time(5_600), 3, 2);
-    assert_eq!((outlets.count(), conns[0].1.len()), (3, 2));
+    assert_eq!((outlets.count(), handed()[0]), (3, (1, false)));
     outlets.make_room(Time(7_000), 3, 2);
-    assert_eq!(outlets.count(), 2);
+    assert_eq!(handed(), [(0, true), (0, false), (0, false), (0, false), (0, false)]);
 }
 
 #[test]
