--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -52,7 +52,7 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    /// None of these where the operator's file stands alone.
+    /// None of these where the operator's file stands alone; no records service where nothing lies below.
     pub engine: Option<SocketAddr>,
     pub control: Option<SocketAddr>,
     pub records: Option<SocketAddr>,
@@ -128,12 +128,18 @@
         if places.handlers.is_empty() || places.handlers.iter().any(String::is_empty) {
             return Err("settings: classes is empty or lacks a name".to_string());
         }
+        // Calls go to the records service only where the settings say that something lies below.
+        let below = conf.get("family_info").and_then(|info| info.get("below")?.as_str()) != Some("none");
         let config = Config {
             name: settings::text(&all, "name")?.to_string(),
             listen: address("listen")?,
             engine: Some(address("engine")?),
             control: Some(address("control")?),
-            records: Some(address("records")?),
+            records: if below || settings::present(&all, "records").is_some() {
+                Some(address("records")?)
+            } else {
+                None
+            },
             operator: None,
             seed: u64::from_str_radix(seed, 16).map_err(|_| "seed is not a hexadecimal number")?,
             stop: Duration::from_millis(settings::whole(&all, "stop_ms")?),
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -130,8 +130,8 @@
         let classes = config.places.handlers.iter().map(|name| name.as_str().into()).collect();
         let busy = config.places.busy;
         let engine = config
-            .records
-            .map(|records| work::engine::Runs::new(now, records, busy, executor.clone(), inputs.clone()));
+            .engine
+            .map(|_| work::engine::Runs::new(now, config.records, busy, executor.clone(), inputs.clone()));
         let pages = config.operator.as_ref().map(|operator| {
             let plan = operator.plan(&config.known());
             let values = config.places.handlers.iter().map(|name| operator.value(name)).collect();
@@ -365,8 +365,8 @@
         if config.control != self.config.control {
             config.control.map(|control| self.news.try_send(News::Moved(control)));
         }
-        if let (Some(engine), Some(records)) = (&mut self.works.engine, config.records) {
-            engine.moved(records);
+        if let Some(engine) = &mut self.works.engine {
+            engine.moved(config.records);
         }
         self.room.told(&config);
         let shown = |addr: Option<SocketAddr>| addr.map_or("none".to_string(), |a| a.to_string());
--- a/crates/server/src/work/engine.rs
+++ b/crates/server/src/work/engine.rs
@@ -57,7 +57,8 @@
     asked: Option<Tag>,
     /// When the link last broke.
     broke: Time,
-    records: SocketAddr,
+    /// None where nothing lies below.
+    records: Option<SocketAddr>,
     calls: u64,
     executor: Rc<LocalExecutor<'static>>,
     inputs: Sender<Input>,
@@ -66,7 +67,7 @@
 
 impl Runs {
     pub fn new(
-        now: Time, records: SocketAddr, busy: Option<usize>, executor: Rc<LocalExecutor<'static>>,
+        now: Time, records: Option<SocketAddr>, busy: Option<usize>, executor: Rc<LocalExecutor<'static>>,
         inputs: Sender<Input>,
     ) -> Self {
         Runs {
@@ -146,7 +147,7 @@
         self.link.is_up()
     }
 
-    pub fn moved(&mut self, records: SocketAddr) {
+    pub fn moved(&mut self, records: Option<SocketAddr>) {
         self.records = records;
     }
 
@@ -233,7 +234,10 @@
         let (records, inputs) = (self.records, self.inputs.clone());
         let (of, body) = (run.wire, body.clone());
         let task = self.executor.spawn(async move {
-            let result = call::call(records, of, body, cap).await;
+            let result = match records {
+                Some(records) => call::call(records, of, body, cap).await,
+                None => Err(CallError::NotBegun("nothing lies below")),
+            };
             let _ = inputs.send(Input::Called(id, no, result)).await;
         });
         run.call = Some((no, task));
--- a/crates/server/tests/serve/start.rs
+++ b/crates/server/tests/serve/start.rs
@@ -34,6 +34,16 @@
         }
         std::fs::remove_file(path).unwrap();
     }
+    // A server with nothing below it is told no records service, and needs none; any other does.
+    for (below, code) in [("none", Some(0)), ("common", Some(2))] {
+        let mut conf = settings();
+        conf.as_object_mut().unwrap().remove("records");
+        conf["settings"]["family_info"]["below"] = json!(below);
+        let path = written(&conf.to_string());
+        let (told, text) = said(&["check", "--config", path.to_str().unwrap()]);
+        assert!(told == code && (code == Some(0) || text.contains("records")), "{below}: {told:?} {text}");
+        std::fs::remove_file(path).unwrap();
+    }
     let path = written("{ not JSON");
     assert!(said(&["check", "--config", path.to_str().unwrap()]).1.contains("not JSON"));
     std::fs::remove_file(&path).unwrap();
