--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -19,6 +19,8 @@
 /// other connections need the room.
 const CROSSING: Time = SECOND;
 const CROSSING_AT_LEAST: Time = Time(1_000);
+/// Making room is asked for again no sooner than this.
+const ROOM_AGAIN: Time = Time(100);
 /// A connection that has sent nothing yet is no worse than others for this long.
 const YOUNG: Time = Time(1_000);
 
@@ -243,9 +245,10 @@
     }
 
     /// Of `taken` connections, closing ones among them, `most` may stay: those of least use are told and go. First
-    /// those that never sent anything, at once; of the idle the longest unused, once nothing can cross any longer.
-    pub fn make_room(&mut self, now: Time, taken: usize, most: usize) {
-        let Some(over) = taken.checked_sub(most).filter(|over| *over > 0) else { return };
+    /// those that never sent anything, at once; of the idle the longest unused, once nothing can cross any longer: then
+    /// this is to be asked again.
+    pub fn make_room(&mut self, now: Time, taken: usize, most: usize) -> Option<Time> {
+        let over = taken.checked_sub(most).filter(|over| *over > 0)?;
         self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
         let goes = |o: &Outlet| o.told.is_some() || o.closing || o.parcels.is_none();
         let going = self.conns.values().filter(|o| goes(o)).count();
@@ -261,6 +264,9 @@
             }
         }
         self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
+        let told = self.conns.values().filter(|o| o.idle()).filter_map(|o| o.told);
+        // One whose queue takes no close is asked again a little later.
+        told.min().map(|at| (at + CROSSING_AT_LEAST).max(now + ROOM_AGAIN))
     }
 
     /// Connections told to close are closed after what may cross: the longer time, or where the server leaves and
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -268,7 +268,11 @@
 
     fn make_room(&mut self, now: Time) {
         let (taken, most) = self.room.connections();
-        self.outlets.make_room(now, taken, most);
+        // Guards newcomers that wait to be accepted while every place is taken: those told to go are not left until
+        // the next chores.
+        if let Some(at) = self.outlets.make_room(now, taken, most) {
+            self.next_chores = self.next_chores.min(at);
+        }
     }
 
     fn wake(&mut self, now: Time, gauges: Gauges) {
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -7,5 +7,6 @@
 mod pages;
 mod reload;
 mod reqs;
+mod restarts;
 mod rig;
 mod start;
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -109,6 +109,21 @@
         self.logged(logged);
     }
 
+    /// Kills the program and starts it again under its address.
+    pub fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.conf["listen"] = json!(self.addr.to_string());
+        std::fs::write(&self.path, self.conf.to_string()).unwrap();
+        self.child = program(&["serve", "--config", self.path.to_str().unwrap()]).spawn().unwrap();
+        (self.addr, self.log) = served(&mut self.child);
+    }
+
+    /// How many descriptors the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// How the program ended, and how long that took.
     pub fn ended(&mut self) -> (ExitStatus, Duration) {
         ends(&mut self.child)
