--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -10,6 +10,16 @@
 
 /// Descriptors kept for engine, calls, control plane, listener, timers and log.
 const KEPT_BACK: u64 = 96;
+/// Of them those that are no calls, and the most calls in hand a core that the decider lets out (`MOST_CALLS`), each on
+/// a descriptor of its own.
+const OWN: u64 = 32;
+const CALLS: u64 = 4;
+
+/// What of `sockets` descriptors is kept back: more than usual where many cores make many calls, but no more than half,
+/// for a server that turns all away is of no use.
+fn kept_back(sockets: u64, cores: f64) -> u64 {
+    KEPT_BACK.max((OWN + CALLS * cores as u64).min(sockets / 2))
+}
 
 /// The decider uses 0.85 of the crowd that it is told is survived: so `at_once` itself is the most that run.
 const OVERLOAD: f64 = 1.0 / 0.85 + 1e-6;
@@ -119,7 +129,9 @@
         let sockets = settings::whole(limits, "sockets").map_err(|wrong| format!("limits: {wrong}"))?;
         let memory = settings::whole(limits, "memory_mb").map_err(|wrong| format!("limits: {wrong}"))?;
         let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-        let connections = sockets.min(allowed.unwrap_or(sockets)).checked_sub(KEPT_BACK).filter(|n| *n > 0);
+        let sockets = sockets.min(allowed.unwrap_or(sockets));
+        let cores = conf.get("family_info").and_then(|info| info.get("n_cores")?.as_f64()).unwrap_or(0.0);
+        let connections = sockets.checked_sub(kept_back(sockets, cores)).filter(|n| *n > 0);
         let classes = || conf.get("classes").and_then(Value::as_array).into_iter().flatten();
         let ms = |class: &Value, key: &str| class.get(key).and_then(Value::as_f64).unwrap_or(0.0);
         let times =
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -2,6 +2,7 @@
 
 use cottondyke::answer::{Outlets, Parcel};
 
+use cottondyke::config::Config;
 use cottondyke::drain::{stage, Stage};
 use cottondyke::health::Health;
 use cottondyke::input::ConnId;
@@ -293,6 +294,19 @@
     assert_eq!((0..40).filter(|n| held(*n)).collect::<Vec<_>>(), (24..40).collect::<Vec<_>>());
 }
 
+/// Guards calls against a budget of descriptors that is all taken by sidecars: what is kept back holds as many as the
+/// cores may have in hand, and never more than half.
+#[test]
+fn descriptors_are_kept_back_for_the_calls_of_all_cores() {
+    for (sockets, cores, connections) in [(1_000, 6, 904), (1_000, 64, 712), (400, 200, 200), (128, 2, 32)] {
+        let mut conf: serde_json::Value =
+            serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+        conf["limits"]["sockets"] = sockets.into();
+        conf["settings"]["family_info"]["n_cores"] = cores.into();
+        assert_eq!(Config::parse(&conf.to_string()).unwrap().connections, connections, "{sockets} {cores}");
+    }
+}
+
 /// Guards sidecars against connections that send nothing: of those that must go they are first, the young ones not.
 #[test]
 fn silent_connections_go_first() {
