--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -14,7 +14,7 @@
 
 /// Accepting rests this long when the system has no descriptor left.
 const REST: Duration = Duration::from_millis(50);
-/// Connections that may wait to be accepted: what finds no place there is lost or late by seconds.
+/// Connections that may wait to be accepted: what finds no permit there is lost or late by seconds.
 const BACKLOG: i32 = 1_024;
 /// A pause is told at most this often.
 const TOLD_EACH: Duration = Duration::from_secs(1);
@@ -81,12 +81,12 @@
 
 /// Serves a connection in a task of its own.
 fn take(executor: &LocalExecutor<'static>, front: &Rc<Front>, next: &mut u64, stream: Async<TcpStream>) {
-    let (conn, place, front) = (ConnId(*next), front.room.place(), front.clone());
+    let (conn, permit, front) = (ConnId(*next), front.room.permit(), front.clone());
     *next += 1;
     let task = async move {
         guarded(conn, intake::serve(conn, stream, &front)).await;
         let _ = front.desk.send(Input::Closed(conn)).await;
-        drop(place);
+        drop(permit);
     };
     executor.spawn(task).detach();
 }
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -14,7 +14,7 @@
 
 /// A sidecar that takes nothing for this long is given up, or for the longest client timeout where that is longer: so
 /// none is cut off while an answer of it may still be in time.
-const STUCK: Duration = Duration::from_secs(5);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// From telling a sidecar to send no more to closing; what crosses takes at most 50 ms. The second holds where
 /// other connections need the room.
 const CROSSING: Time = SECOND;
@@ -25,7 +25,7 @@
 const YOUNG: Time = Time(1_000);
 
 /// What the desk hands a connection's writer.
-pub enum Parcel {
+pub enum Outgoing {
     /// An encoded reply, and whether it settles a req.
     Reply { bytes: Vec<u8>, settles: bool },
     /// Close, if the desk has taken all that was read here: `taken` inputs. What crosses this keeps it open.
@@ -63,25 +63,25 @@
 }
 
 /// How long a sidecar may take nothing.
-pub fn patience(longest_ms: f64) -> Duration {
-    STUCK.max(duration(span_of_ms(longest_ms)))
+pub fn write_timeout(longest_ms: f64) -> Duration {
+    WRITE_TIMEOUT.max(duration(span_of_ms(longest_ms)))
 }
 
 /// Writes what the desk hands over, until it hands over no more or closes a connection that is quiet.
 pub async fn write(
-    stream: &Async<TcpStream>, parcels: Receiver<Parcel>, progress: &Progress, patience: Duration,
+    stream: &Async<TcpStream>, outgoing: Receiver<Outgoing>, progress: &Progress, write_timeout: Duration,
 ) -> Written {
     let mut bytes = Vec::new();
-    while let Ok(first) = parcels.recv().await {
+    while let Ok(first) = outgoing.recv().await {
         let (mut settled, mut close) = (0, None);
         bytes.clear();
-        for parcel in std::iter::once(first).chain(std::iter::from_fn(|| parcels.try_recv().ok())) {
-            match parcel {
-                Parcel::Reply { bytes: reply, settles } => {
+        for one in std::iter::once(first).chain(std::iter::from_fn(|| outgoing.try_recv().ok())) {
+            match one {
+                Outgoing::Reply { bytes: reply, settles } => {
                     bytes.extend_from_slice(&reply);
                     settled += usize::from(settles);
                 }
-                Parcel::Close { taken } => close = Some(taken),
+                Outgoing::Close { taken } => close = Some(taken),
             }
         }
         // Before the first byte goes: a sidecar may send its next req as soon as it has an answer, while others of
@@ -91,7 +91,7 @@
         while written < bytes.len() {
             // Guards slow links: what counts is that nothing is taken, not how long all of it takes.
             let stuck = async {
-                Timer::after(patience).await;
+                Timer::after(write_timeout).await;
                 Err(io::ErrorKind::TimedOut.into())
             };
             match (&mut &*stream).write(&bytes[written..]).or(stuck).await {
@@ -106,9 +106,9 @@
     Written::All
 }
 
-struct Outlet {
+struct Connection {
     /// None once the desk has nothing more to say here: the writer writes what it has and closes.
-    parcels: Option<Sender<Parcel>>,
+    outgoing: Option<Sender<Outgoing>>,
     /// Reqs and checks that wait for their answer.
     open: usize,
     /// Inputs taken from it.
@@ -127,24 +127,24 @@
     ending: bool,
 }
 
-impl Outlet {
+impl Connection {
     fn idle(&self) -> bool {
-        self.open == 0 && !self.closing && self.parcels.is_some()
+        self.open == 0 && !self.closing && self.outgoing.is_some()
     }
 }
 
 /// The connections, as the desk knows them: from their opening until they are closed, their last bytes written.
 #[derive(Default)]
-pub struct Outlets {
-    conns: BTreeMap<ConnId, Outlet>,
+pub struct Connections {
+    conns: BTreeMap<ConnId, Connection>,
     /// The free value that goes out with every answer and check.
     pub say: Option<f64>,
 }
 
-impl Outlets {
-    pub fn opened(&mut self, now: Time, conn: ConnId, parcels: Sender<Parcel>) {
-        let outlet = Outlet {
-            parcels: Some(parcels),
+impl Connections {
+    pub fn opened(&mut self, now: Time, conn: ConnId, outgoing: Sender<Outgoing>) {
+        let connection = Connection {
+            outgoing: Some(outgoing),
             open: 0,
             taken: 0,
             heard: false,
@@ -154,7 +154,7 @@
             closing: false,
             ending: false,
         };
-        self.conns.insert(conn, outlet);
+        self.conns.insert(conn, connection);
     }
 
     pub fn closed(&mut self, conn: ConnId) {
@@ -164,17 +164,19 @@
     /// A req or a check came on it. False where it can carry no answer any more: what came must not run.
     pub fn took(&mut self, now: Time, conn: ConnId) -> bool {
         let live = self.heard(now, conn);
-        if let Some(outlet) = self.conns.get_mut(&conn).filter(|_| live) {
-            outlet.open += 1;
+        if let Some(connection) = self.conns.get_mut(&conn).filter(|_| live) {
+            connection.open += 1;
         }
         live
     }
 
     /// Something came on it, be it what needs no answer. False where it can carry none any more.
     pub fn heard(&mut self, now: Time, conn: ConnId) -> bool {
-        let Some(outlet) = self.conns.get_mut(&conn).filter(|o| o.parcels.is_some()) else { return false };
-        outlet.taken += 1;
-        (outlet.heard, outlet.used, outlet.closing) = (true, now, false);
+        let Some(connection) = self.conns.get_mut(&conn).filter(|o| o.outgoing.is_some()) else {
+            return false;
+        };
+        connection.taken += 1;
+        (connection.heard, connection.used, connection.closing) = (true, now, false);
         true
     }
 
@@ -188,18 +190,18 @@
 
     /// Sends a reply where the connection still stands. One whose queue is full reads nothing: it is dropped.
     pub fn send(&mut self, now: Time, conn: ConnId, reply: &Reply) {
-        let Some(outlet) = self.conns.get_mut(&conn) else { return };
-        let Some(parcels) = &outlet.parcels else { return };
+        let Some(connection) = self.conns.get_mut(&conn) else { return };
+        let Some(outgoing) = &connection.outgoing else { return };
         let mut bytes = Vec::new();
         let settles = reply.settles();
         reply.encode(self.say, &mut bytes);
-        if parcels.try_send(Parcel::Reply { bytes, settles }).is_err() {
+        if outgoing.try_send(Outgoing::Reply { bytes, settles }).is_err() {
             tracing::warn!(conn = conn.0, "a sidecar reads nothing; its connection is dropped");
-            outlet.parcels = None;
+            connection.outgoing = None;
             return;
         }
-        (outlet.used, outlet.heard) = (now, true);
-        outlet.open -= usize::from(reply.answers()).min(outlet.open);
+        (connection.used, connection.heard) = (now, true);
+        connection.open -= usize::from(reply.answers()).min(connection.open);
         self.end_if_settled(conn);
     }
 
@@ -210,15 +212,15 @@
 
     /// Closes the connection, from which nothing more is read, once nothing is open on it.
     pub fn end(&mut self, conn: ConnId) {
-        if let Some(outlet) = self.conns.get_mut(&conn) {
-            outlet.ending = true;
+        if let Some(connection) = self.conns.get_mut(&conn) {
+            connection.ending = true;
         }
         self.end_if_settled(conn);
     }
 
     fn end_if_settled(&mut self, conn: ConnId) {
-        if let Some(outlet) = self.conns.get_mut(&conn).filter(|o| o.ending && o.open == 0) {
-            outlet.parcels = None;
+        if let Some(connection) = self.conns.get_mut(&conn).filter(|o| o.ending && o.open == 0) {
+            connection.outgoing = None;
         }
     }
 
@@ -230,17 +232,18 @@
 
     fn tell(&mut self, now: Time, conn: ConnId) {
         self.send(now, conn, &Reply::NoMore);
-        if let Some(outlet) = self.conns.get_mut(&conn) {
-            outlet.told = Some(now);
+        if let Some(connection) = self.conns.get_mut(&conn) {
+            connection.told = Some(now);
         }
     }
 
     /// Asks the connections that are idle and to `go` to close. One on which something was read meanwhile stays
     /// until that is answered.
-    fn close(&mut self, go: impl Fn(&Outlet) -> bool) {
-        for outlet in self.conns.values_mut().filter(|o| o.idle() && go(o)) {
-            let close = Parcel::Close { taken: outlet.taken };
-            outlet.closing = outlet.parcels.as_ref().is_some_and(|parcels| parcels.try_send(close).is_ok());
+    fn close(&mut self, go: impl Fn(&Connection) -> bool) {
+        for connection in self.conns.values_mut().filter(|o| o.idle() && go(o)) {
+            let close = Outgoing::Close { taken: connection.taken };
+            connection.closing =
+                connection.outgoing.as_ref().is_some_and(|outgoing| outgoing.try_send(close).is_ok());
         }
     }
 
@@ -250,7 +253,7 @@
     pub fn make_room(&mut self, now: Time, taken: usize, most: usize) -> Option<Time> {
         let over = taken.checked_sub(most).filter(|over| *over > 0)?;
         self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
-        let goes = |o: &Outlet| o.told.is_some() || o.closing || o.parcels.is_none();
+        let goes = |o: &Connection| o.told.is_some() || o.closing || o.outgoing.is_none();
         let going = self.conns.values().filter(|o| goes(o)).count();
         let idle = self.conns.iter().filter(|(_, o)| o.idle() && !goes(o));
         let mut idle: Vec<_> =
@@ -258,9 +261,9 @@
         idle.sort_unstable();
         for (heard, _, conn) in idle.into_iter().take(over.saturating_sub(going)) {
             self.tell(now, conn);
-            if let Some(outlet) = self.conns.get_mut(&conn).filter(|_| !heard) {
+            if let Some(connection) = self.conns.get_mut(&conn).filter(|_| !heard) {
                 // It has sent nothing for so long that it counts as told for long enough.
-                outlet.told = Some(now - CROSSING_AT_LEAST);
+                connection.told = Some(now - CROSSING_AT_LEAST);
             }
         }
         self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -1,14 +1,14 @@
 //! The desk: the one owner of the decider, of the table of reqs and of the timers. Everything that happens
 //! comes to it as a value; it asks the decider and carries the results out in the order in which they stand.
 //! It never waits on a socket.
-use crate::answer::Outlets;
+use crate::answer::Connections;
 use crate::config::Config;
 use crate::cpu;
 use crate::drain::{self, Stage};
 use crate::fleet::Fleet;
 use crate::health::Health;
 use crate::input::{ConnId, Input, Lines};
-use crate::keys::{Key, Keys, Outcome};
+use crate::keys::{DedupTable, IdempotencyKey, Outcome};
 use crate::report::News;
 use crate::room::Room;
 use crate::time::{ms, since_unix, span_of_ms, Clock};
@@ -47,7 +47,7 @@
     wire: WireId,
     new: Arrival,
     arrived: Time,
-    key: Option<Key>,
+    key: Option<IdempotencyKey>,
     body: Rc<[u8]>,
     answered: bool,
     running: bool,
@@ -95,11 +95,11 @@
     /// The ids of all in `reqs`, as they stand on the wire.
     wires: BTreeSet<WireId>,
     next_id: u32,
-    outlets: Outlets,
+    connections: Connections,
     works: Works,
     fleet: Option<Rc<Fleet>>,
     room: Rc<Room>,
-    keys: Keys,
+    keys: DedupTable,
     health: Health,
     /// How long the last req of a proven connection lay unread.
     lately: Time,
@@ -146,11 +146,11 @@
             reqs: BTreeMap::new(),
             wires: BTreeSet::new(),
             next_id: 0,
-            outlets: Outlets::default(),
+            connections: Connections::default(),
             works,
             fleet,
             room,
-            keys: Keys::default(),
+            keys: DedupTable::default(),
             health: Health::default(),
             lately: Time(0),
             news: lines.news,
@@ -189,7 +189,7 @@
                 futures_lite::future::yield_now().await;
             }
         }
-        tracing::info!(connections = self.outlets.count(), "left");
+        tracing::info!(connections = self.connections.count(), "left");
     }
 
     fn next_timer(&self) -> Time {
@@ -204,7 +204,7 @@
     fn timers(&mut self) -> bool {
         let now = self.clock.now();
         for (conn, stream) in self.health.overdue(now) {
-            self.outlets.send(now, conn, &Reply::Checked { stream, good: false });
+            self.connections.send(now, conn, &Reply::Checked { stream, good: false });
         }
         if self.asked.is_some_and(|until| until <= now) {
             self.asked = None;
@@ -237,7 +237,7 @@
         let chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         self.next_chores = next.map_or(chores, |next| chores.min(next));
         let stage = drain::stage(self.notice, self.left(), now);
-        self.outlets.chores(now, stage >= Stage::Closed);
+        self.connections.chores(now, stage >= Stage::Closed);
         self.make_room(now);
         if let Some(engine) = &mut self.works.engine {
             engine.chores(now);
@@ -250,15 +250,15 @@
         self.forget_runs(now);
         self.keys.expire(now);
         if stage >= Stage::Closed && self.close.take().is_some() {
-            self.outlets.no_more(now);
+            self.connections.no_more(now);
         }
         if stage >= Stage::Ended {
-            self.outlets.close_idle();
+            self.connections.close_idle();
         }
         // The end of the process is a close of every connection at once: it waits until each has written its answers
         // and read what its sidecar still sent, or its time is over.
         let answered = self.reqs.values().all(|r| r.answered);
-        stage == Stage::Over || stage >= Stage::Closed && self.outlets.count() == 0 && answered
+        stage == Stage::Over || stage >= Stage::Closed && self.connections.count() == 0 && answered
     }
 
     /// From the notice to leave until the end.
@@ -270,7 +270,7 @@
         let (taken, most) = self.room.connections();
         // Guards newcomers that wait to be accepted while every place is taken: those told to go are not left until
         // the next chores.
-        if let Some(at) = self.outlets.make_room(now, taken, most) {
+        if let Some(at) = self.connections.make_room(now, taken, most) {
             self.next_chores = self.next_chores.min(at);
         }
     }
@@ -283,34 +283,34 @@
     fn take(&mut self, input: Input) {
         let now = self.clock.now();
         match input {
-            Input::Opened(conn, parcels) => {
-                self.outlets.opened(now, conn, parcels);
+            Input::Opened(conn, outgoing) => {
+                self.connections.opened(now, conn, outgoing);
                 self.make_room(now);
                 if self.close.is_none() {
-                    self.outlets.no_more(now);
+                    self.connections.no_more(now);
                 }
             }
             Input::Req(conn, req) => self.arrived(now, conn, req),
             Input::Surplus(conn, stream) => {
-                let _ = self.outlets.took(now, conn);
-                self.outlets.send(now, conn, &Reply::Shed { stream, after_ms: 0.0, last: false });
+                let _ = self.connections.took(now, conn);
+                self.connections.send(now, conn, &Reply::Shed { stream, after_ms: 0.0, last: false });
             }
             Input::Unfit(conn, stream, why) => {
                 tracing::debug!(conn = conn.0, why, "a req that cannot be run");
                 self.tally.unfit += 1;
-                let _ = self.outlets.took(now, conn);
-                self.outlets.send(now, conn, &Reply::Errored(stream));
+                let _ = self.connections.took(now, conn);
+                self.connections.send(now, conn, &Reply::Errored(stream));
             }
             Input::Check { conn, stream, deep } => self.checked(now, conn, stream, deep),
             Input::Cancelled(conn, stream) => self.cancelled(now, conn, stream),
-            Input::Finished(conn) => self.outlets.end(conn),
+            Input::Finished(conn) => self.connections.end(conn),
             Input::Malformed(conn, why) => {
                 tracing::debug!(conn = conn.0, why, "a malformed frame; the connection is closed");
                 self.tally.malformed += 1;
-                self.outlets.fault(now, conn, why);
+                self.connections.fault(now, conn, why);
             }
             Input::Closed(conn) => {
-                self.outlets.closed(conn);
+                self.connections.closed(conn);
                 self.gone(now, conn);
             }
             Input::EngineUp { age_ms, outlet } => self.engine_up(now, age_ms, outlet),
@@ -342,7 +342,7 @@
                 let results = self.decider.leaving(now, self.left());
                 self.carry_all(now, results);
                 self.works.leaving(now, now + self.left().times(PAGES_PART));
-                self.outlets.no_more(now);
+                self.connections.no_more(now);
                 self.next_chores = now;
             }
         }
@@ -414,7 +414,7 @@
         }
         self.works.forget_all(now);
         // What is open comes anew, and enters the table anew: the first try of each key that is left is the first.
-        self.keys = Keys::default();
+        self.keys = DedupTable::default();
         self.reqs.retain(|_, r| !r.answered);
         self.wires = self.reqs.values().map(|r| r.wire).collect();
         self.wakes.clear();
@@ -430,12 +430,12 @@
     }
 
     fn checked(&mut self, now: Time, conn: ConnId, stream: Stream, deep: bool) {
-        let _ = self.outlets.took(now, conn);
+        let _ = self.connections.took(now, conn);
         match self.health.answer(deep, self.works.is_up()) {
-            Some(good) => self.outlets.send(now, conn, &Reply::Checked { stream, good }),
+            Some(good) => self.connections.send(now, conn, &Reply::Checked { stream, good }),
             None => match self.works.engine.as_mut().and_then(work::engine::Runs::test) {
                 Some(tag) => self.health.testing(now, tag, conn, stream),
-                None => self.outlets.send(now, conn, &Reply::Checked { stream, good: false }),
+                None => self.connections.send(now, conn, &Reply::Checked { stream, good: false }),
             },
         }
     }
@@ -453,7 +453,7 @@
     fn arrived(&mut self, now: Time, conn: ConnId, req: Req) {
         // Guards effects: what was read on a connection that carries no answer any more would run for nobody, and
         // its sidecar, which saw the connection fail, may send it again elsewhere.
-        if !self.outlets.took(now, conn) {
+        if !self.connections.took(now, conn) {
             tracing::debug!(conn = conn.0, id = ?req.id, "a req on a connection that was given up");
             self.tally.unfit += 1;
             return;
@@ -461,7 +461,7 @@
         if self.wires.contains(&req.id) {
             tracing::debug!(conn = conn.0, id = ?req.id, "an id that is open already");
             self.tally.unfit += 1;
-            self.outlets.send(now, conn, &Reply::Errored(req.stream));
+            self.connections.send(now, conn, &Reply::Errored(req.stream));
             return;
         }
         let id = self.fresh_id();
@@ -469,12 +469,12 @@
         let reads = kind == Kind::Replayable && self.config.fresh > Time(0);
         // A uniqued req is another try of one of its own customer; a read is shared by class and key alone.
         let customer = req.customer.filter(|_| kind == Kind::Uniqued);
-        let key: Option<Key> = req.mark.map(|mark| (req.handler, customer, mark));
+        let key: Option<IdempotencyKey> = req.mark.map(|mark| (req.handler, customer, mark));
         let key = key.filter(|_| reads || kind == Kind::Uniqued);
         // A stamp teaches how long reqs lie unread where the engine has known a req of that connection; else no
         // more than what was learned so does.
         let lay = since_unix(req.at);
-        let proven = self.outlets.proven(conn);
+        let proven = self.connections.proven(conn);
         let repeats = key.as_ref().and_then(|key| self.keys.repeats(now, now - lay, key));
         // Guards results against clients that copy a mark: a repeat takes its answer from the table, where no engine
         // says whether it knows the req. So it takes it only on the connection of the open first try, or on one of
@@ -485,7 +485,7 @@
         if copied && kind == Kind::Uniqued {
             tracing::debug!(conn = conn.0, id = ?req.id, "a repeat from where the engine has known no req");
             self.tally.unfit += 1;
-            self.outlets.send(now, conn, &Reply::Errored(req.stream));
+            self.connections.send(now, conn, &Reply::Errored(req.stream));
             return;
         }
         let (repeats, key) = if copied { (None, None) } else { (repeats, key) };
@@ -528,7 +528,7 @@
     /// Enters a req that repeats none in the table. Guards effects: the window opens when the try that runs reached
     /// the machine, and stamps may be odd, so it is taken to open now at the earliest. It does not rest on whether the
     /// decider still books an entry: of two tries that lay unread past a short window each would run.
-    fn keep(&mut self, now: Time, id: ReqId, kind: Kind, key: Option<&Key>) {
+    fn keep(&mut self, now: Time, id: ReqId, kind: Kind, key: Option<&IdempotencyKey>) {
         let Some(key) = key else { return };
         let (until, tail) = match kind {
             Kind::Uniqued => {
@@ -563,12 +563,12 @@
             }
             Event::Lives(id) => {
                 if let Some(entry) = self.reqs.get(&id) {
-                    self.outlets.prove(entry.conn);
+                    self.connections.prove(entry.conn);
                 }
             }
             Event::Tested(tag, good) => {
                 if let Some((conn, stream)) = self.health.tested(tag) {
-                    self.outlets.send(now, conn, &Reply::Checked { stream, good });
+                    self.connections.send(now, conn, &Reply::Checked { stream, good });
                 }
             }
         }
@@ -625,7 +625,7 @@
         entry.running = false;
         self.works.forget(id);
         if end == RunEnd::Done {
-            self.outlets.prove(entry.conn);
+            self.connections.prove(entry.conn);
         }
         let (stream, shared) = (entry.stream, entry.key.is_some());
         let kept = (end == RunEnd::Done && shared).then(|| Rc::new(output.clone()));
@@ -657,7 +657,7 @@
         let Some(entry) = self.reqs.get_mut(&id) else { return };
         if !entry.answered {
             entry.answered = true;
-            self.outlets.send(now, entry.conn, &reply);
+            self.connections.send(now, entry.conn, &reply);
         }
         if entry.running {
             self.works.unwanted(id);
@@ -670,7 +670,7 @@
     /// The sidecar waits for a req no longer: it is answered at once, and the decider told. One with a key goes on, for
     /// its repeats.
     fn cancelled(&mut self, now: Time, conn: ConnId, stream: Stream) {
-        self.outlets.heard(now, conn);
+        self.connections.heard(now, conn);
         let of = |e: &Entry| e.conn == conn && e.stream == stream && !e.answered && e.key.is_none();
         let Some(id) = self.reqs.iter().find(|(_, e)| of(e)).map(|(id, _)| *id) else { return };
         self.answer(now, id, Reply::Errored(stream));
@@ -764,7 +764,7 @@
                 let _ = self.news.try_send(News::Health(good));
             }
         }
-        self.outlets.say = results.advice.or(self.outlets.say);
+        self.connections.say = results.advice.or(self.connections.say);
         if let Some(span) = results.wake {
             self.wakes.insert(now + span);
         }
--- a/crates/server/src/input.rs
+++ b/crates/server/src/input.rs
@@ -1,6 +1,6 @@
 //! What reaches the desk, and the ids that go with it: values alone, so that every part may name them and none
 //! needs another for it.
-use crate::answer::Parcel;
+use crate::answer::Outgoing;
 use crate::client::CallError;
 use crate::config::Config;
 use crate::report::News;
@@ -23,7 +23,7 @@
 
 /// What reaches the desk.
 pub enum Input {
-    Opened(ConnId, Sender<Parcel>),
+    Opened(ConnId, Sender<Outgoing>),
     Req(ConnId, Req),
     /// A req past what may be open on a connection.
     Surplus(ConnId, Stream),
--- a/crates/server/src/intake.rs
+++ b/crates/server/src/intake.rs
@@ -1,5 +1,5 @@
 //! One sidecar's connection: reads frames and hands them to the desk, writes what the desk answers.
-use crate::answer::{self, Parcel, Progress, Written};
+use crate::answer::{self, Outgoing, Progress, Written};
 use crate::input::{ConnId, Input};
 use crate::room::Room;
 use crate::wire::sidecar::{Decoder, Message, Names};
@@ -32,7 +32,7 @@
     pub room: Rc<Room>,
     pub desk: Sender<Input>,
     /// How long a sidecar may take nothing of what is written to it.
-    pub patience: Duration,
+    pub write_timeout: Duration,
 }
 
 /// How a sidecar stopped sending.
@@ -45,12 +45,12 @@
 
 pub async fn serve(conn: ConnId, stream: Async<TcpStream>, front: &Front) {
     let _ = stream.get_ref().set_nodelay(true);
-    let (outlet, parcels) = async_channel::bounded::<Parcel>(MOST_WAITING);
-    if front.desk.send(Input::Opened(conn, outlet)).await.is_err() {
+    let (writer, outgoing) = async_channel::bounded::<Outgoing>(MOST_WAITING);
+    if front.desk.send(Input::Opened(conn, writer)).await.is_err() {
         return;
     }
     let progress = Progress::default();
-    let over = parcels.clone();
+    let over = outgoing.clone();
     let reading = async {
         let last = match read(conn, &stream, front, &progress, &over).await {
             Ok(End::Gone) => return Written::Broken,
@@ -61,18 +61,18 @@
         // The writer ends the connection once the desk has settled what is open.
         std::future::pending().await
     };
-    let ended = reading.or(answer::write(&stream, parcels, &progress, front.patience)).await;
+    let ended = reading.or(answer::write(&stream, outgoing, &progress, front.write_timeout)).await;
     drop(over);
     // From here on nothing that comes is handed on: what is read after the half-close could not be answered.
     if ended == Written::All && stream.get_ref().shutdown(Shutdown::Write).is_ok() {
         let late = async {
             Timer::after(LINGER).await;
         };
-        throw_away(&stream, front).or(late).await;
+        linger(&stream, front).or(late).await;
     }
 }
 
-async fn throw_away(stream: &Async<TcpStream>, front: &Front) {
+async fn linger(stream: &Async<TcpStream>, front: &Front) {
     let quiet = || async {
         Timer::after(LINGER_QUIET).await;
         Ok(0)
@@ -85,7 +85,7 @@
 
 /// Reads until the sidecar ends its side, or the desk has let it go.
 async fn read(
-    conn: ConnId, stream: &Async<TcpStream>, front: &Front, progress: &Progress, over: &Receiver<Parcel>,
+    conn: ConnId, stream: &Async<TcpStream>, front: &Front, progress: &Progress, over: &Receiver<Outgoing>,
 ) -> Result<End, Malformed> {
     let mut decoder = Decoder::new(front.names.clone());
     let mut part = front.room.part();
--- a/crates/server/src/keys.rs
+++ b/crates/server/src/keys.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 /// What repeats have in common: their handler, their customer where that counts, and their mark.
-pub type Key = (HandlerId, Option<CustomerId>, Box<str>);
+pub type IdempotencyKey = (HandlerId, Option<CustomerId>, Box<str>);
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -18,7 +18,7 @@
 
 #[derive(Debug)]
 struct Entry {
-    key: Key,
+    key: IdempotencyKey,
     /// What came to the machine before this repeats it; an open read's entry has no end yet.
     until: Option<Time>,
     /// How long after that it is still here.
@@ -27,16 +27,16 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Keys {
-    by_key: BTreeMap<Key, ReqId>,
+pub struct DedupTable {
+    by_key: BTreeMap<IdempotencyKey, ReqId>,
     entries: BTreeMap<ReqId, Entry>,
     ends: BTreeMap<(Time, ReqId), ()>,
     bytes: usize,
 }
 
-impl Keys {
+impl DedupTable {
     /// The entry that a req with this key, which came to the machine at `arrived`, repeats.
-    pub fn repeats(&mut self, now: Time, arrived: Time, key: &Key) -> Option<ReqId> {
+    pub fn repeats(&mut self, now: Time, arrived: Time, key: &IdempotencyKey) -> Option<ReqId> {
         self.expire(now);
         let id = self.by_key.get(key)?;
         let within = |e: &Entry| e.until.is_none_or(|until| arrived < until);
@@ -45,7 +45,7 @@
 
     /// Keeps a req's entry for what comes before `until`, or while it is open, and for `tail` longer for what of
     /// that is read late. The entry moves here from an older req.
-    pub fn keep(&mut self, id: ReqId, key: Key, until: Option<Time>, tail: Time) {
+    pub fn keep(&mut self, id: ReqId, key: IdempotencyKey, until: Option<Time>, tail: Time) {
         let outcome = self.entries.get(&id).map_or(Outcome::Open, |e| e.outcome.clone());
         if let Some(older) = self.by_key.insert(key.clone(), id) {
             self.drop_entry(older);
--- a/crates/server/src/room.rs
+++ b/crates/server/src/room.rs
@@ -41,10 +41,10 @@
         let _ = self.given_back.0.try_send(());
     }
 
-    pub fn place(self: &Rc<Self>) -> Option<Place> {
+    pub fn permit(self: &Rc<Self>) -> Option<Permit> {
         (!self.full()).then(|| {
             self.taken.set(self.taken.get() + 1);
-            Place(self.clone())
+            Permit(self.clone())
         })
     }
 
@@ -86,9 +86,9 @@
 }
 
 /// One connection's descriptor, given back at its end.
-pub struct Place(Rc<Room>);
+pub struct Permit(Rc<Room>);
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.0.taken.set(self.0.taken.get() - 1);
         let _ = self.0.given_back.0.try_send(());
--- a/crates/server/src/serve.rs
+++ b/crates/server/src/serve.rs
@@ -36,8 +36,8 @@
     let executor = Rc::new(LocalExecutor::new());
     tracing::info!(name = config.name, %listen, "serving");
 
-    let patience = answer::patience(names.longest_ms);
-    let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone(), patience };
+    let write_timeout = answer::write_timeout(names.longest_ms);
+    let front = Front { names: Rc::new(names), room: room.clone(), desk: to_desk.clone(), write_timeout };
     let accepting = accept::listen(executor.clone(), listener, Rc::new(front), closed);
     let accepting = executor.spawn(accepting);
     let (desk_of, name) = (to_desk.clone(), config.name.clone());
--- a/crates/server/tests/accept.rs
+++ b/crates/server/tests/accept.rs
@@ -26,7 +26,7 @@
     let (desk, inputs) = async_channel::unbounded();
     let (_, close) = async_channel::bounded(1);
     let executor = Rc::new(LocalExecutor::new());
-    let front = Front { names: Rc::default(), room: Room::new(1, 0), desk, patience: PATIENCE };
+    let front = Front { names: Rc::default(), room: Room::new(1, 0), desk, write_timeout: PATIENCE };
     let listening = listen(executor.clone(), listener, Rc::new(front), close);
     async_io::block_on(executor.run(async {
         listening.await;
--- a/crates/server/tests/closing.rs
+++ b/crates/server/tests/closing.rs
@@ -3,7 +3,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use cottondyke::answer::Parcel;
+use cottondyke::answer::Outgoing;
 use cottondyke::input::{ConnId, Input};
 use cottondyke::intake::{self, Front};
 use cottondyke::room::Room;
@@ -16,14 +16,14 @@
 use std::time::{Duration, Instant};
 
 /// How long the sidecar may take nothing.
-const STUCK: Duration = Duration::from_millis(1_500);
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// One connection, its sidecar and its desk; `room` is what may wait for the desk.
 struct Rig {
     executor: Rc<LocalExecutor<'static>>,
     sidecar: Sidecar,
     desk: Receiver<Input>,
-    parcels: Sender<Parcel>,
+    outgoing: Sender<Outgoing>,
     /// Its end is the end of the connection's handling.
     ended: Receiver<()>,
 }
@@ -49,8 +49,12 @@
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
         let names = Names { handlers: vec!["greet".into()], customers: Vec::new(), longest_ms: 2_000.0 };
         let (to_desk, desk) = async_channel::bounded(room);
-        let front =
-            Front { names: Rc::new(names), room: Room::new(8, 1 << 20), desk: to_desk, patience: STUCK };
+        let front = Front {
+            names: Rc::new(names),
+            room: Room::new(8, 1 << 20),
+            desk: to_desk,
+            write_timeout: WRITE_TIMEOUT,
+        };
         let executor = Rc::new(LocalExecutor::new());
         let (over, ended) = async_channel::bounded(1);
         executor
@@ -60,8 +64,8 @@
             })
             .detach();
         async_io::block_on(executor.clone().run(async move {
-            let Ok(Input::Opened(_, parcels)) = desk.recv().await else { panic!("no connection") };
-            test(Rig { executor, sidecar, desk, parcels, ended }).await;
+            let Ok(Input::Opened(_, outgoing)) = desk.recv().await else { panic!("no connection") };
+            test(Rig { executor, sidecar, desk, outgoing, ended }).await;
         }));
     }
 
@@ -72,11 +76,11 @@
     /// The reply to a req, as the desk would hand it over.
     fn reply(&self, stream: u32, body: &[u8]) {
         let bytes = frame(2, stream, &[vec![1], payload(&[], body)].concat());
-        self.parcels.try_send(Parcel::Reply { bytes, settles: true }).unwrap();
+        self.outgoing.try_send(Outgoing::Reply { bytes, settles: true }).unwrap();
     }
 
     fn close(&self, taken: u64) {
-        self.parcels.try_send(Parcel::Close { taken }).unwrap();
+        self.outgoing.try_send(Outgoing::Close { taken }).unwrap();
     }
 
     /// Lets the connection do all that it can do now.
@@ -95,7 +99,7 @@
     }
 
     fn is_open(&self) -> bool {
-        !self.ended.is_closed() && !self.parcels.is_closed()
+        !self.ended.is_closed() && !self.outgoing.is_closed()
     }
 }
 
@@ -123,7 +127,7 @@
         rig.settle().await;
         assert_eq!(rig.sidecar.hear().unwrap().body, b"there");
         rig.close(1);
-        drop(rig.parcels);
+        drop(rig.outgoing);
         assert!(rig.ended.recv().await.is_err());
     });
 }
@@ -185,7 +189,7 @@
         rig.reply(1, &body);
         rig.close(1);
         // Written whole to the system, which holds most of it back for a sidecar that takes little.
-        while !rig.parcels.is_closed() {
+        while !rig.outgoing.is_closed() {
             future::yield_now().await;
         }
         rig.settle().await;
@@ -205,7 +209,7 @@
 fn a_quiet_connection_closes() {
     Rig::run(8, None, |mut rig| async move {
         rig.close(0);
-        while !rig.parcels.is_closed() {
+        while !rig.outgoing.is_closed() {
             future::yield_now().await;
         }
         assert_eq!(rig.sidecar.0.read(&mut [0]).unwrap(), 0);
@@ -229,12 +233,12 @@
             let least = piece.len().min(whole - taken);
             (&mut &sidecar).read_exact(&mut piece[..least]).await.expect("it is not cut off");
             taken += least;
-            // A piece at a time, until all of it took longer than the patience.
-            if start.elapsed() < STUCK * 2 {
-                Timer::after(STUCK / 15).await;
+            // A piece at a time, until all of it took longer than the write_timeout.
+            if start.elapsed() < WRITE_TIMEOUT * 2 {
+                Timer::after(WRITE_TIMEOUT / 15).await;
             }
         }
-        assert!(start.elapsed() > STUCK && rig.is_open());
+        assert!(start.elapsed() > WRITE_TIMEOUT && rig.is_open());
     });
 }
 
--- a/crates/server/tests/leaving.rs
+++ b/crates/server/tests/leaving.rs
@@ -1,7 +1,7 @@
 //! The desk at the end of the process, with the test in the place of its connections, so that it says when an answer
 //! that was handed over is written.
 use async_executor::LocalExecutor;
-use cottondyke::answer::Parcel;
+use cottondyke::answer::Outgoing;
 use cottondyke::config::Config;
 use cottondyke::desk::Desk;
 use cottondyke::input::{ConnId, Input, Lines};
@@ -67,10 +67,10 @@
         self.tell(Input::Notice(Notice::Stats { tag, gauges: Vec::new() }));
     }
 
-    fn open(&self, conn: u64, most: usize) -> async_channel::Receiver<Parcel> {
-        let (outlet, parcels) = async_channel::bounded(most);
+    fn open(&self, conn: u64, most: usize) -> async_channel::Receiver<Outgoing> {
+        let (outlet, outgoing) = async_channel::bounded(most);
         self.tell(Input::Opened(ConnId(conn), outlet));
-        parcels
+        outgoing
     }
 
     fn ask(&self, conn: u64, stream: u32) {
@@ -114,11 +114,11 @@
 fn the_end_waits_for_an_answer_that_is_being_written() {
     let start = Instant::now();
     let left = Rig::run(|rig| async move {
-        let parcels = rig.open(1, 100);
+        let outgoing = rig.open(1, 100);
         rig.ask(1, 1);
         rig.tell(Input::Leave);
         // The writer takes all that is handed over, and has written none of it: the connection stands.
-        while parcels.recv().await.is_ok() {}
+        while outgoing.recv().await.is_ok() {}
         future::pending().await
     });
     let end = Duration::from_millis(STOP).mul_f64(0.985);
@@ -130,9 +130,9 @@
 fn the_end_comes_with_the_last_connection() {
     let start = Instant::now();
     let left = Rig::run(|rig| async move {
-        let parcels = rig.open(1, 100);
+        let outgoing = rig.open(1, 100);
         rig.tell(Input::Leave);
-        while !matches!(parcels.recv().await, Ok(Parcel::Close { .. })) {}
+        while !matches!(outgoing.recv().await, Ok(Outgoing::Close { .. })) {}
         rig.tell(Input::Closed(ConnId(1)));
         future::pending().await
     });
--- a/crates/server/tests/wire.rs
+++ b/crates/server/tests/wire.rs
@@ -1,12 +1,12 @@
 //! The parsers, fed every split and fuzzed bytes; and the small parts that need no socket.
 
-use cottondyke::answer::{Outlets, Parcel};
+use cottondyke::answer::{Connections, Outgoing};
 
 use cottondyke::config::Config;
 use cottondyke::drain::{stage, Stage};
 use cottondyke::health::Health;
 use cottondyke::input::ConnId;
-use cottondyke::keys::{Keys, Outcome};
+use cottondyke::keys::{DedupTable, Outcome};
 use cottondyke::run::Engine;
 use cottondyke::wire::engine::{self, Command, Notice, Tag};
 use cottondyke::wire::http;
@@ -258,7 +258,7 @@
 
     /// The table of repeats knows an entry until its end and not after, and keeps no more than it was told.
     fn keys_end_when_they_should(spans: Vec<u8>) -> bool {
-        let mut keys = Keys::default();
+        let mut keys = DedupTable::default();
         let key = |n: usize| (HandlerId(0), None, n.to_string().into_boxed_str());
         for (n, span) in spans.iter().enumerate() {
             keys.keep(ReqId(n as u32), key(n), Some(Time(i64::from(*span))), Time(0));
@@ -273,7 +273,7 @@
     fn keys_go_by_the_time_of_coming(span: u8, tail: u8, read: u16, lay: u16) -> bool {
         let (span, tail, read) = (i64::from(span), i64::from(tail), i64::from(read % 600));
         let arrived = read - i64::from(lay % 600).min(read);
-        let mut keys = Keys::default();
+        let mut keys = DedupTable::default();
         let key = (HandlerId(0), None, "mark".into());
         keys.keep(ReqId(1), key.clone(), Some(Time(span)), Time(tail));
         let found = keys.repeats(Time(read), Time(arrived), &key).is_some();
@@ -284,7 +284,7 @@
 /// Guards memory: results kept for repeats are bounded, and the oldest go first.
 #[test]
 fn kept_results_are_bounded() {
-    let mut keys = Keys::default();
+    let mut keys = DedupTable::default();
     let result = Rc::new(Output::whole(vec![0; 1 << 20]));
     for n in 0..40 {
         keys.keep(ReqId(n), (HandlerId(0), None, n.to_string().into()), Some(Time(1_000)), Time(0));
@@ -310,31 +310,31 @@
 /// Guards sidecars against connections that send nothing: of those that must go they are first, the young ones not.
 #[test]
 fn silent_connections_go_first() {
-    let mut outlets = Outlets::default();
+    let mut connections = Connections::default();
     let conns: Vec<_> = (0..5).map(|_| async_channel::bounded(4)).collect();
     for (n, at) in [(0, 0), (1, 10), (2, 20), (3, 5_000), (4, 5_000)] {
-        outlets.opened(Time(at), ConnId(n), conns[n as usize].0.clone());
+        connections.opened(Time(at), ConnId(n), conns[n as usize].0.clone());
     }
-    outlets.took(Time(10), ConnId(0));
-    outlets.send(Time(10), ConnId(0), &Reply::Errored(Stream(1)));
+    connections.took(Time(10), ConnId(0));
+    connections.send(Time(10), ConnId(0), &Reply::Errored(Stream(1)));
     // What each connection was handed since the last look: replies, and whether it is to close.
     let handed = || -> Vec<(usize, bool)> {
-        let of = |parcels: &async_channel::Receiver<Parcel>| {
-            let all: Vec<_> = std::iter::from_fn(|| parcels.try_recv().ok()).collect();
-            let closes = all.iter().filter(|p| matches!(p, Parcel::Close { .. })).count();
+        let of = |outgoing: &async_channel::Receiver<Outgoing>| {
+            let all: Vec<_> = std::iter::from_fn(|| outgoing.try_recv().ok()).collect();
+            let closes = all.iter().filter(|p| matches!(p, Outgoing::Close { .. })).count();
             (all.len() - closes, closes > 0)
         };
-        conns.iter().map(|(_, parcels)| of(parcels)).collect()
+        conns.iter().map(|(_, outgoing)| of(outgoing)).collect()
     };
-    outlets.make_room(Time(5_500), 5, 3);
+    connections.make_room(Time(5_500), 5, 3);
     assert_eq!(handed(), [(1, false), (1, true), (1, true), (0, false), (0, false)]);
     // Closing ones count as going already; the idle one is told, and closed after what may cross.
-    outlets.make_room(Time(5_500), 5, 3);
+    connections.make_room(Time(5_500), 5, 3);
     assert_eq!(handed(), [(0, false); 5]);
-    (1..=2).for_each(|n| outlets.closed(ConnId(n)));
-    outlets.make_room(Time(5_600), 3, 2);
-    assert_eq!((outlets.count(), handed()[0]), (3, (1, false)));
-    outlets.make_room(Time(7_000), 3, 2);
+    (1..=2).for_each(|n| connections.closed(ConnId(n)));
+    connections.make_room(Time(5_600), 3, 2);
+    assert_eq!((connections.count(), handed()[0]), (3, (1, false)));
+    connections.make_room(Time(7_000), 3, 2);
     assert_eq!(handed(), [(0, true), (0, false), (0, false), (0, false), (0, false)]);
 }
 
