--- a/crates/server/tests/serve/crossings.rs
+++ b/crates/server/tests/serve/crossings.rs
@@ -195,28 +195,6 @@
     assert_eq!(sidecar.hear().unwrap().body, b"bought");
 }
 
-/// Guards calls against a service that answers before it has read the request, and closes: the reply says that the
-/// call never ran, though the rest of it could not be written.
-#[test]
-fn a_reply_before_the_call_is_written_counts() {
-    let rig = Rig::start();
-    rustix::net::sockopt::set_socket_recv_buffer_size(&rig.records, 2_048).unwrap();
-    let (mut link, mut sidecar) = rig.ready();
-    ask(&mut sidecar, 1, PAY, &[], b"");
-    let run = started(&mut link);
-    // More than the system holds on the way to a service that reads none of it, in any case after its close.
-    let body = vec![7; 262_144];
-    link.say_with(&format!("NEED 1 {run}"), &body).unwrap();
-    let mut service = Service::accept(&rig.records).unwrap();
-    let turned_away = b"HTTP/1.1 503 Busy\r\nOp-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n";
-    service.0.get_mut().write_all(turned_away).unwrap();
-    drop(service);
-    let mut service = Service::accept(&rig.records).unwrap();
-    assert_eq!(service.asked().unwrap().body, body, "it is made again");
-    service.reply("200 OK", "", b"reply").unwrap();
-    assert_eq!(link.order().unwrap().1, b"reply");
-}
-
 /// Guards a start against a SIGHUP that comes while the files are read: it ends nothing, and the files are read anew.
 #[test]
 fn a_hangup_while_the_files_are_read_ends_nothing() {
