A copy of a req that is read before it takes nothing from it

Where the copy is read first (a req that lay unread), the genuine one was errored as an id that is open already, and the copy answered. Now the later of two takes the earlier's place where the engine has known a req of its connection and none of the other's. The new test fails without it.

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -461,7 +461,8 @@
         if self.wires.contains(&req.id) {
             tracing::debug!(conn = conn.0, id = ?req.id, "an id that is open already");
             self.tally.unfit += 1;
-            self.connections.send(now, conn, &Reply::Errored(req.stream));
+            let (conn, stream) = self.copy_of(conn, &req);
+            self.connections.send(now, conn, &Reply::Errored(stream));
             return;
         }
         let id = self.fresh_id();
@@ -525,6 +526,25 @@
         self.carry_all(now, results);
     }
 
+    /// Which of two reqs with one id is the copy. Guards sidecars against a client that copies their reqs and is read
+    /// first: where the engine has known a req of the later connection and none of the earlier, the later takes the
+    /// place of the earlier, and its answer.
+    fn copy_of(&mut self, conn: ConnId, req: &Req) -> (ConnId, Stream) {
+        let later = (conn, req.stream);
+        if !self.connections.proven(conn) {
+            return later;
+        }
+        let open = self.reqs.values_mut().find(|e| e.wire == req.id && !e.answered);
+        match open.filter(|e| !self.connections.proven(e.conn) && e.body[..] == req.body[..]) {
+            Some(entry) => {
+                let earlier = (entry.conn, entry.stream);
+                (entry.conn, entry.stream) = later;
+                earlier
+            }
+            None => later,
+        }
+    }
+
     /// Enters a req that repeats none in the table. Guards effects: the window opens when the try that runs reached
     /// the machine, and stamps may be odd, so it is taken to open now at the earliest. It does not rest on whether the
     /// decider still books an entry: of two tries that lay unread past a short window each would run.
--- a/crates/server/tests/serve/crossings.rs
+++ b/crates/server/tests/serve/crossings.rs
@@ -138,6 +138,30 @@
     }
 }
 
+/// Guards a sidecar's req against a copy of it that is read first: the copy is errored, the answer is the sidecar's.
+#[test]
+fn a_copy_that_is_read_first_takes_nothing() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, READ, &[], b"");
+    run_through(&mut link, 1, b"");
+    assert_eq!(sidecar.hear().unwrap().code, 1);
+    let mut stranger = rig.sidecar();
+    ask(&mut stranger, 2, PAY, &[], b"same");
+    let run = started(&mut link);
+    ask(&mut sidecar, 2, PAY, &[], b"same");
+    assert_eq!(stranger.hear().unwrap().code, 9);
+    link.say_with(&format!("DONE 2 {run} fine 1"), b"paid").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"paid");
+    // The other way round, and between two that the engine does not know, the first stays.
+    ask(&mut sidecar, 3, PAY, &[], b"same");
+    let run = started(&mut link);
+    ask(&mut stranger, 3, PAY, &[], b"same");
+    assert_eq!(stranger.hear().unwrap().code, 9);
+    link.say_with(&format!("DONE 3 {run} fine 1"), b"paid").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"paid");
+}
+
 /// Guards connections against a sidecar that gives a req up and says so: the req is answered at once, its run is
 /// stopped, and what follows on the connection is served.
 #[test]
