The end of a run that never started goes before the reqs that come anew for it

Found by reading: results of the run's end were carried after those of the reqs that had joined it, against the order in which they stand (desk.rs, told).

--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -571,9 +571,13 @@
         match event {
             Event::Ended(id, end, output) => {
                 let waiting = if end == RunEnd::Void { self.never_started(id) } else { Vec::new() };
-                let results = self.run_over(now, id, end, output);
+                let results = self.run_over(now, id, end, output)?;
+                if waiting.is_empty() {
+                    return Some(results);
+                }
+                // What the end of the run brings goes before what the reqs that come anew bring.
+                self.carry_all(now, results);
                 waiting.into_iter().for_each(|id| self.rejoin(now, id));
-                return results;
             }
             Event::CallWanted(id) => return Some(self.decider.call_wanted(now, id)),
             Event::CallEnded(id, end) => return Some(self.decider.call_ended(now, id, end)),
