--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -93,7 +93,8 @@
 
 fn send(class: &str, text: &str) -> io::Result<()> {
     let mut sidecar = Sidecar::connect(SERVER.parse().map_err(io::Error::other)?)?;
-    let (id, at) = (format!("{:016x}", unix_ms()), unix_ms().to_string());
+    // Several that are started in the same millisecond differ by their process.
+    let (id, at) = (format!("{:08x}{:08x}", std::process::id(), unix_ms() as u32), unix_ms().to_string());
     let fields = [
         ("class", class),
         ("id", id.as_str()),
