--- a/crates/server/tests/client.rs
+++ b/crates/server/tests/client.rs
@@ -27,7 +27,7 @@
     let turned_away = b"HTTP/1.1 503 Busy\r\nOp-Not-Begun: 1\r\nContent-Length: 0\r\n\r\n";
     let (reply, again) = reset_after(turned_away).unwrap();
     assert!(reply.status == 503 && reply.not_begun && !again);
-    for cut in [0, 1, turned_away.len() - 1] {
+    for cut in 0..turned_away.len() {
         assert!(matches!(reset_after(&turned_away[..cut]), Err(CallError::MaybeBegun(_))), "{cut}");
     }
 }
--- a/crates/server/tests/leaving.rs
+++ b/crates/server/tests/leaving.rs
@@ -7,10 +7,10 @@
 use cottondyke::input::{ConnId, Input, Lines};
 use cottondyke::room::Room;
 use cottondyke::time::Clock;
-use cottondyke::wire::engine::{Command, Notice};
+use cottondyke::wire::engine::{Command, Notice, NoticeNo};
 use cottondyke::wire::sidecar::{Req, Stream};
 use cottondyke::wire::WireId;
-use cottondyke_decide::types::HandlerId;
+use cottondyke_decide::types::{HandlerId, RunEnd};
 use futures_lite::{future, FutureExt};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -160,3 +160,77 @@
     });
     assert!(!left);
 }
+
+/// What of these settles a req.
+fn settled(outgoing: &async_channel::Receiver<Outgoing>) -> usize {
+    let all = std::iter::from_fn(|| outgoing.try_recv().ok());
+    all.filter(|one| matches!(one, Outgoing::Reply { settles: true, .. })).count()
+}
+
+/// Guards the one final answer where the end of the run, the sidecar's cancel, its half-close, the notice to leave and
+/// the end of the connection fall into one turn, in each order: one answer, but where the connection went first none.
+#[test]
+fn what_falls_into_one_turn_answers_once_in_each_order() {
+    type Tell = fn(&Rig, u32);
+    let events: [Tell; 5] = [
+        |rig, n| {
+            let id = WireId::new(&format!("{n:016x}")).unwrap();
+            let (no, end) = (NoticeNo(u64::from(n)), RunEnd::Done);
+            rig.tell(Input::Notice(Notice::Done { no, id, end, result: Vec::new() }));
+        },
+        |rig, n| rig.tell(Input::Cancelled(ConnId(u64::from(n)), Stream(n))),
+        |rig, n| rig.tell(Input::Finished(ConnId(u64::from(n)))),
+        |rig, n| rig.tell(Input::Malformed(ConnId(u64::from(n)), "on purpose")),
+        |rig, n| rig.tell(Input::Closed(ConnId(u64::from(n)))),
+    ];
+    let left = Rig::run(|rig| async move {
+        rig.engine_up().await;
+        // Each order of the five, by the number of the order.
+        for order in 0..120u32 {
+            let (conn, n) = (u64::from(order) + 1, order + 1);
+            let outgoing = rig.open(conn, 100);
+            rig.ask(conn, n);
+            rig.settle().await;
+            assert_eq!(rig.runs(), 1);
+            let (mut rest, mut number) = (vec![0, 1, 2, 3, 4], order as usize);
+            let mut turn = Vec::new();
+            for left in (1..=5).rev() {
+                turn.push(rest.remove(number % left));
+                number /= left;
+            }
+            turn.iter().for_each(|event| events[*event](&rig, n));
+            rig.settle().await;
+            let place = |event| turn.iter().position(|e| *e == event).unwrap();
+            let answers = usize::from(place(4) > place(0).min(place(1)));
+            assert_eq!(settled(&outgoing), answers, "{turn:?}");
+            // The run ends in any case, and leaves its place.
+            events[0](&rig, n);
+        }
+    });
+    assert!(!left);
+}
+
+/// Guards the last answer: the notice to leave falls into the step in which it is handed over, before or after.
+#[test]
+fn the_notice_beside_the_last_answer_loses_neither() {
+    for before in [false, true] {
+        let left = Rig::run(|rig| async move {
+            rig.engine_up().await;
+            let outgoing = rig.open(1, 100);
+            rig.ask(1, 1);
+            rig.settle().await;
+            let id = WireId::new(&format!("{:016x}", 1)).unwrap();
+            let done = || Notice::Done { no: NoticeNo(1), id, end: RunEnd::Done, result: Vec::new() };
+            if before {
+                rig.tell(Input::Leave);
+            }
+            rig.tell(Input::Notice(done()));
+            if !before {
+                rig.tell(Input::Leave);
+            }
+            rig.settle().await;
+            assert_eq!(settled(&outgoing), 1);
+        });
+        assert!(!left);
+    }
+}
--- a/crates/server/tests/serve/crossings.rs
+++ b/crates/server/tests/serve/crossings.rs
@@ -3,7 +3,6 @@
 use cottondyke_standin::peers::*;
 use serde_json::json;
 use std::io::Write;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// A req that came to the machine at `at`.
@@ -222,13 +221,7 @@
 /// Guards a start against a SIGHUP that comes while the files are read: it ends nothing, and the files are read anew.
 #[test]
 fn a_hangup_while_the_files_are_read_ends_nothing() {
-    let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
-    let (engine, records, control) = (bind(), bind(), bind());
-    let mut conf = settings();
-    conf["listen"] = json!("127.0.0.1:0");
-    for (key, listener) in [("engine", &engine), ("records", &records), ("control", &control)] {
-        conf[key] = json!(listener.local_addr().unwrap().to_string());
-    }
+    let (conf, _peers) = with_peers();
     let path = std::env::temp_dir().join(format!("cottondyke-{}-fifo", std::process::id()));
     let _ = std::fs::remove_file(&path);
     let made = std::process::Command::new("mkfifo").arg(&path).status().unwrap();
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -153,3 +153,27 @@
     link.say_with(&format!("DONE 1 {run} fine 1"), b"").unwrap();
     assert_eq!(sidecar.hear().unwrap().code, 1);
 }
+
+/// Guards runs against a HALT that crosses their end: whichever comes first, the end or the word that it was one too
+/// many, the req has its one answer and the next is served.
+#[test]
+fn a_halt_that_crosses_the_end_of_its_run_changes_nothing() {
+    for refused_first in [false, true] {
+        let rig = Rig::start();
+        let (mut link, mut sidecar) = rig.ready();
+        ask(&mut sidecar, 1, BRIEF, &[], b"");
+        let run = started(&mut link);
+        assert_eq!(sidecar.hear().unwrap().code, 9);
+        assert_eq!(link.order().unwrap().0, ["HALT", &run]);
+        if refused_first {
+            link.say(&format!("NO HALT {run}")).unwrap();
+        }
+        link.say_with(&format!("DONE 1 {run} fine 600"), b"late").unwrap();
+        link.say(&format!("NO HALT {run}")).unwrap();
+        ask(&mut sidecar, 2, READ, &[], b"");
+        let next =
+            std::iter::repeat_with(|| link.order().unwrap().0).find(|words| words[0] != "HALT").unwrap();
+        link.say_with(&format!("DONE 2 {} fine 1", next[1]), b"next").unwrap();
+        assert_eq!(sidecar.hear().unwrap().body, b"next");
+    }
+}
--- a/crates/server/tests/serve/reload.rs
+++ b/crates/server/tests/serve/reload.rs
@@ -61,3 +61,24 @@
     rig.signal("-HUP");
     assert_eq!(rig.ended().0.code(), Some(0), "the same during a drain");
 }
+
+/// Guards an engine that moves away and back, while the link to the new address is still being made: it is met where it
+/// is, and told which notices were read.
+#[test]
+fn an_engine_that_moves_away_and_back_is_met_where_it_is() {
+    let rig = Rig::start();
+    let (mut link, mut sidecar) = rig.ready();
+    ask(&mut sidecar, 1, PAY, &[], b"");
+    let run = started(&mut link);
+    let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut conf = rig.conf.clone();
+    conf["engine"] = json!(elsewhere.local_addr().unwrap().to_string());
+    rig.reload(&conf.to_string(), "the engine has a new address");
+    let mut half_made = Link::accept(&elsewhere).unwrap();
+    assert_eq!(half_made.command().unwrap().0[0], "ATTACH");
+    rig.reload(&rig.conf.to_string(), "the engine has a new address");
+    let mut link = rig.link(0);
+    link.say_with(&format!("DONE 1 {run} fine 1"), b"paid").unwrap();
+    assert_eq!(sidecar.hear().unwrap().body, b"paid");
+    assert!(half_made.command().is_err(), "nothing more is said there");
+}
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -27,6 +27,18 @@
     conf
 }
 
+/// Settings with stand-ins for engine, records service and control plane, on ports that the system picks.
+pub fn with_peers() -> (Value, [TcpListener; 3]) {
+    let mut conf = settings();
+    conf["listen"] = json!("127.0.0.1:0");
+    let peers = ["engine", "records", "control"].map(|key| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        conf[key] = json!(listener.local_addr().unwrap().to_string());
+        listener
+    });
+    (conf, peers)
+}
+
 /// A configuration in a file of its own.
 pub fn written(conf: &str) -> PathBuf {
     let name = format!("cottondyke-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -58,13 +70,7 @@
     }
 
     pub fn with(change: impl FnOnce(&mut Value)) -> Self {
-        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let (engine, records, control) = (bind(), bind(), bind());
-        let mut conf = settings();
-        conf["listen"] = json!("127.0.0.1:0");
-        for (key, listener) in [("engine", &engine), ("records", &records), ("control", &control)] {
-            conf[key] = json!(listener.local_addr().unwrap().to_string());
-        }
+        let (mut conf, [engine, records, control]) = with_peers();
         change(&mut conf);
         let path = written(&conf.to_string());
         let mut child = program(&["serve", "--config", path.to_str().unwrap()]).spawn().unwrap();
