Read once more: the table's entries in one place, less for a short notice, two settings checked

Cause: found by reading the whole change. rejoin and again were two halves of one step; keep was told the kind that its key tells; drain::next guarded stages that the chores of leaving (5 ms) reach anyway; make_room closed twice; a comment was spoilt by a renaming. As an operator: a uniqued handler without a window (missing or 0) was taken as no time at all, so its repeats would run again, and an unknown word for what lies below passed as if something did.

Change: each folded; both settings refused at start, naming key and value. Three new rows in the test of bad configurations.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -14,7 +14,7 @@
 
 /// Accepting rests this long when the system has no descriptor left.
 const REST: Duration = Duration::from_millis(50);
-/// Connections that may wait to be accepted: what finds no permit there is lost or late by seconds.
+/// Connections that may wait to be accepted: what finds no place there is lost or late by seconds.
 const BACKLOG: i32 = 1_024;
 /// A pause is told at most this often.
 const TOLD_EACH: Duration = Duration::from_secs(1);
--- a/crates/server/src/answer.rs
+++ b/crates/server/src/answer.rs
@@ -252,7 +252,6 @@
     /// this is to be asked again.
     pub fn make_room(&mut self, now: Time, taken: usize, most: usize) -> Option<Time> {
         let over = taken.checked_sub(most).filter(|over| *over > 0)?;
-        self.close(|o| o.told.is_some_and(|at| now - at >= CROSSING_AT_LEAST));
         let goes = |o: &Connection| o.told.is_some() || o.closing || o.outgoing.is_none();
         let going = self.conns.values().filter(|o| goes(o)).count();
         let idle = self.conns.iter().filter(|(_, o)| o.idle() && !goes(o));
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -307,8 +307,17 @@
         within(info, "n_cores", 1.0, 65_536.0)?;
         within(info, "mem_limit_kb", 1.0, 1e15)?;
         within(rules, "overload_factor", 1.0, 1e9)?;
+        // What lies below decides whether a records service is needed: no word of it may pass for another.
+        let below = settings::text(info, "below")?;
+        if !["none", "common", "next_hop"].contains(&below) {
+            return Err(format!("below is {below:?}: expected \"none\", \"common\" or \"next_hop\""));
+        }
         let classes = self.settings.get("classes").and_then(Value::as_array);
-        classes.into_iter().flatten().try_for_each(|class| {
+        classes.into_iter().flatten().zip(&self.kinds).try_for_each(|(class, kind)| {
+            // Missing, it would be no time at all, and repeats would run again.
+            if *kind == Kind::Uniqued {
+                within(class, "dedup_window_ms", 0.1, 1e12)?;
+            }
             within(class, "deadline_ms", 0.1, 1e12)?;
             within(class, "aim_ms", 0.1, 1e12)
         })
--- a/crates/server/src/desk.rs
+++ b/crates/server/src/desk.rs
@@ -232,10 +232,7 @@
         if now < self.next_chores {
             return false;
         }
-        // A short notice has stages closer to each other than the chores of leaving.
-        let next = self.notice.and_then(|notice| drain::next(notice, self.left(), now));
-        let chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
-        self.next_chores = next.map_or(chores, |next| chores.min(next));
+        self.next_chores = now + if self.notice.is_some() { CHORES_LEAVING } else { CHORES };
         let stage = drain::stage(self.notice, self.left(), now);
         self.connections.chores(now, stage >= Stage::Closed);
         self.make_room(now);
@@ -292,13 +289,13 @@
             }
             Input::Req(conn, req) => self.arrived(now, conn, req),
             Input::Surplus(conn, stream) => {
-                let _ = self.connections.took(now, conn);
+                self.connections.took(now, conn);
                 self.connections.send(now, conn, &Reply::Shed { stream, after_ms: 0.0, last: false });
             }
             Input::Unfit(conn, stream, why) => {
                 tracing::debug!(conn = conn.0, why, "a req that cannot be run");
                 self.tally.unfit += 1;
-                let _ = self.connections.took(now, conn);
+                self.connections.took(now, conn);
                 self.connections.send(now, conn, &Reply::Errored(stream));
             }
             Input::Check { conn, stream, deep } => self.checked(now, conn, stream, deep),
@@ -424,13 +421,11 @@
             self.carry_all(now, results);
         }
         let open: Vec<_> = self.reqs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect();
-        for id in open {
-            self.rejoin(now, id);
-        }
+        open.into_iter().for_each(|id| self.again(now, id));
     }
 
     fn checked(&mut self, now: Time, conn: ConnId, stream: Stream, deep: bool) {
-        let _ = self.connections.took(now, conn);
+        self.connections.took(now, conn);
         match self.health.answer(deep, self.works.is_up()) {
             Some(good) => self.connections.send(now, conn, &Reply::Checked { stream, good }),
             None => match self.works.engine.as_mut().and_then(work::engine::Runs::test) {
@@ -491,7 +486,7 @@
         }
         let (repeats, key) = if copied { (None, None) } else { (repeats, key) };
         if repeats.is_none() {
-            self.keep(now, id, kind, key.as_ref());
+            self.keep(now, id, key.as_ref());
         }
         self.lately = if proven { lay } else { self.lately };
         let unread = lay.min(self.lately);
@@ -548,15 +543,12 @@
     /// Enters a req that repeats none in the table. Guards effects: the window opens when the try that runs reached
     /// the machine, and stamps may be odd, so it is taken to open now at the earliest. It does not rest on whether the
     /// decider still books an entry: of two tries that lay unread past a short window each would run.
-    fn keep(&mut self, now: Time, id: ReqId, kind: Kind, key: Option<&IdempotencyKey>) {
+    fn keep(&mut self, now: Time, id: ReqId, key: Option<&IdempotencyKey>) {
         let Some(key) = key else { return };
-        let (until, tail) = match kind {
-            Kind::Uniqued => {
-                let window = self.config.windows[key.0 .0];
-                (Some(now + window + SLACK), span_of_ms(self.config.longest))
-            }
-            _ => (None, Time(0)),
-        };
+        let HandlerId(handler) = key.0;
+        let uniqued = self.config.kinds[handler] == Kind::Uniqued;
+        let until = uniqued.then(|| now + self.config.windows[handler] + SLACK);
+        let tail = if uniqued { span_of_ms(self.config.longest) } else { Time(0) };
         self.keys.keep(id, key.clone(), until, tail);
     }
 
@@ -577,7 +569,7 @@
                 }
                 // What the end of the run brings goes before what the reqs that come anew bring.
                 self.carry_all(now, results);
-                waiting.into_iter().for_each(|id| self.rejoin(now, id));
+                waiting.into_iter().for_each(|id| self.again(now, id));
             }
             Event::CallWanted(id) => return Some(self.decider.call_wanted(now, id)),
             Event::CallEnded(id, end) => return Some(self.decider.call_ended(now, id, end)),
@@ -616,26 +608,20 @@
     /// marks against clients that use them first: those that joined it are not errored for it.
     fn never_started(&mut self, id: ReqId) -> Vec<ReqId> {
         self.keys.release(id);
-        let waiting = self.reqs.iter_mut().filter(|(_, e)| !e.answered && e.joined == Some(id));
-        waiting.map(|(id, entry)| (*id, entry.joined = None).0).collect()
+        let joined = self.reqs.iter_mut().filter(|(_, e)| !e.answered);
+        joined.filter_map(|(each, e)| e.joined.take_if(|of| *of == id).map(|_| *each)).collect()
     }
 
-    /// A req whose first try was none comes anew: as the first try, or as a repeat of the next.
-    fn rejoin(&mut self, now: Time, id: ReqId) {
+    /// An open req whose first try was none comes anew, as it stands now: as the first try, or as a repeat of the next.
+    fn again(&mut self, now: Time, id: ReqId) {
         let Some(entry) = self.reqs.get(&id) else { return };
-        let (kind, key) = (self.config.kinds[entry.new.handler.0], entry.key.clone());
+        let key = entry.key.clone();
         let repeats = key.as_ref().and_then(|key| self.keys.repeats(now, entry.arrived, key));
         if repeats.is_none() {
-            self.keep(now, id, kind, key.as_ref());
+            self.keep(now, id, key.as_ref());
         }
-        self.again(now, id, repeats);
-    }
-
-    /// Hands an open req to the decider once more, as it stands now.
-    fn again(&mut self, now: Time, id: ReqId, repeats: Option<ReqId>) {
         let Some(entry) = self.reqs.get_mut(&id) else { return };
-        entry.running = false;
-        entry.joined = None;
+        (entry.running, entry.joined) = (false, None);
         let lay = now - entry.arrived;
         let wait = entry.new.wait.map(|wait| (wait + entry.new.lay - lay).max(Time(0)));
         entry.new = Arrival { lay, unread: Time(0), wait, repeats, ..entry.new };
--- a/crates/server/src/drain.rs
+++ b/crates/server/src/drain.rs
@@ -90,11 +90,6 @@
     Over,
 }
 
-/// The next change of stage.
-pub fn next(notice: Time, left: Time, now: Time) -> Option<Time> {
-    [CLOSE_PART, END_PART, OVER_PART].into_iter().map(|part| notice + left.times(part)).find(|at| *at > now)
-}
-
 /// How far a server that was told to leave at `notice` has come.
 pub fn stage(notice: Option<Time>, left: Time, now: Time) -> Stage {
     let Some(notice) = notice else { return Stage::Serving };
--- a/crates/server/tests/serve/start.rs
+++ b/crates/server/tests/serve/start.rs
@@ -8,7 +8,7 @@
 /// Guards newcomers and operators: one line that names what is wrong, and an exit code that says so.
 #[test]
 fn a_bad_configuration_is_told_in_one_line() {
-    let cases: [(&str, Spoil); 12] = [
+    let cases: [(&str, Spoil); 15] = [
         // The first shape's count of callers beside callers heard on connections: the two are mixed.
         ("family_info.upstreams", |c| c["front"] = json!({ "callers": "connections" })),
         ("front.callers", |c| c["front"] = json!({ "callers": "everyone" })),
@@ -21,6 +21,10 @@
         ("effect", |c| c["settings"]["classes"][0]["effect"] = json!("maybe")),
         ("classes", |c| c["settings"]["classes"] = json!([])),
         ("sockets", |c| c["limits"]["sockets"] = json!(3)),
+        // A uniqued handler without a window, or with none.
+        ("dedup_window_ms is missing", |c| c["settings"]["classes"][1]["dedup_window_ms"] = json!(null)),
+        ("dedup_window_ms is 0", |c| c["settings"]["classes"][1]["dedup_window_ms"] = json!(0)),
+        ("below is \"nothing\"", |c| c["settings"]["family_info"]["below"] = json!("nothing")),
         ("seed", |c| c["seed"] = json!("xyz")),
     ];
     for (names, spoil) in cases {
