Tests of crossings folded: one process, one served req, one row of closes, one turn in all orders

Change: Process holds what each had; serves and ends say what a served req is (stream, code and body are all checked now, where some looked at one); the three closes are rows of one test; the end of the process is one test of two rows; the one turn takes the notice to leave in, in all 720 orders, which replaces the two orders of a test of its own. No check is gone.

--- a/crates/server/tests/closing.rs
+++ b/crates/server/tests/closing.rs
@@ -1,15 +1,17 @@
 //! Closing a connection while something crosses it. Real connections, with the test in the place of the desk: it says
 //! when what was read is taken, and when the connection is to close, so that every order comes each time.
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use cottondyke::answer::Outgoing;
 use cottondyke::input::{ConnId, Input};
 use cottondyke::intake::{self, Front};
 use cottondyke::room::Room;
 use cottondyke::wire::sidecar::Names;
-use cottondyke_standin::peers::{frame, payload, unix_ms, Sidecar};
+use cottondyke_standin::peers::{frame, payload, unix_ms, Sidecar, PATIENCE};
 use futures_lite::{future, AsyncReadExt};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::{connect, socket, AddressFamily, SocketType};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -24,8 +26,8 @@
     sidecar: Sidecar,
     desk: Receiver<Input>,
     outgoing: Sender<Outgoing>,
-    /// Its end is the end of the connection's handling.
-    ended: Receiver<()>,
+    /// The connection's handling.
+    ended: Task<()>,
 }
 
 impl Rig {
@@ -34,18 +36,14 @@
         room: usize, buffer: Option<usize>, test: impl FnOnce(Rig) -> F,
     ) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let socket =
-            rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None)
-                .unwrap();
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
         if let Some(buffer) = buffer {
-            rustix::net::sockopt::set_socket_recv_buffer_size(&socket, buffer).unwrap();
+            set_socket_recv_buffer_size(&socket, buffer).unwrap();
         }
-        rustix::net::connect(&socket, &addr).unwrap();
-        let mut sidecar = Sidecar(TcpStream::from(socket));
+        connect(&socket, &listener.local_addr().unwrap()).unwrap();
+        let sidecar = Sidecar(TcpStream::from(socket));
         sidecar.0.set_nodelay(true).unwrap();
-        sidecar.0.set_read_timeout(Some(cottondyke_standin::peers::PATIENCE)).unwrap();
-        let _ = sidecar.0.flush();
+        sidecar.0.set_read_timeout(Some(PATIENCE)).unwrap();
         let stream = Async::new(listener.accept().unwrap().0).unwrap();
         let names = Names { handlers: vec!["greet".into()], customers: Vec::new(), longest_ms: 2_000.0 };
         let (to_desk, desk) = async_channel::bounded(room);
@@ -56,13 +54,7 @@
             write_timeout: WRITE_TIMEOUT,
         };
         let executor = Rc::new(LocalExecutor::new());
-        let (over, ended) = async_channel::bounded(1);
-        executor
-            .spawn(async move {
-                intake::serve(ConnId(0), stream, &front).await;
-                drop(over);
-            })
-            .detach();
+        let ended = executor.spawn(async move { intake::serve(ConnId(0), stream, &front).await });
         async_io::block_on(executor.clone().run(async move {
             let Ok(Input::Opened(_, outgoing)) = desk.recv().await else { panic!("no connection") };
             test(Rig { executor, sidecar, desk, outgoing, ended }).await;
@@ -99,7 +91,7 @@
     }
 
     fn is_open(&self) -> bool {
-        !self.ended.is_closed() && !self.outgoing.is_closed()
+        !self.ended.is_finished() && !self.outgoing.is_closed()
     }
 }
 
@@ -109,73 +101,41 @@
     frame(1, stream, &payload(&fields, b""))
 }
 
-/// Guards a req that was read, and not yet taken by the desk, as the desk closes the connection: it stays open, and
-/// its answer goes out on it.
+/// Guards what crosses a close: a req that was read and is not taken yet, bytes that lie unread while the reader waits
+/// for the desk, half a frame. The connection stays open, and each req is answered on it.
 #[test]
-fn a_req_read_before_a_close_keeps_the_connection() {
-    Rig::run(8, None, |mut rig| async move {
-        rig.ask(1);
-        // The desk has taken nothing yet as it decides.
-        while rig.desk.is_empty() {
-            future::yield_now().await;
-        }
-        rig.close(0);
-        rig.settle().await;
-        assert!(rig.is_open());
-        assert_eq!(rig.taken().await, 1);
-        rig.reply(1, b"there");
-        rig.settle().await;
-        assert_eq!(rig.sidecar.hear().unwrap().body, b"there");
-        rig.close(1);
-        drop(rig.outgoing);
-        assert!(rig.ended.recv().await.is_err());
-    });
-}
-
-/// Guards a req whose bytes lie unread in the socket as the desk closes the connection: the reader, which waits for
-/// room at the desk, cannot have seen them.
-#[test]
-fn bytes_that_lie_unread_keep_the_connection() {
-    Rig::run(1, None, |mut rig| async move {
+fn what_crosses_a_close_keeps_the_connection() {
+    let (one, two, three) = (asked(1), asked(2), asked(3));
+    let (half, rest) = one.split_at(one.len() / 2);
+    // What may wait for the desk, what is read, what comes just before the close, inputs taken then, what comes after.
+    let rows = [
+        (8, one.clone(), vec![], 0, vec![], 1),
         // The first waits at the desk, the second for a place there; no more is read meanwhile.
-        let both = [asked(1), asked(2)].concat();
-        rig.sidecar.0.write_all(&both).unwrap();
-        while rig.desk.is_empty() {
-            future::yield_now().await;
-        }
-        rig.settle().await;
-        rig.ask(3);
-        rig.close(2);
-        rig.settle().await;
-        assert!(rig.is_open());
-        for stream in 1..=3 {
-            assert_eq!(rig.taken().await, stream);
-            rig.reply(stream, &[stream as u8]);
-        }
-        rig.settle().await;
-        for stream in 1..=3 {
-            assert_eq!(rig.sidecar.hear().unwrap().body, [stream]);
-        }
-    });
-}
-
-/// Guards a req of which half has come as the desk closes the connection: its sidecar is in the midst of sending it.
-#[test]
-fn half_a_frame_keeps_the_connection() {
-    Rig::run(8, None, |mut rig| async move {
-        let bytes = asked(1);
-        let (first, second) = bytes.split_at(bytes.len() / 2);
-        rig.sidecar.0.write_all(first).unwrap();
-        rig.settle().await;
-        rig.close(0);
-        rig.settle().await;
-        assert!(rig.is_open());
-        rig.sidecar.0.write_all(second).unwrap();
-        assert_eq!(rig.taken().await, 1);
-        rig.reply(1, b"whole");
-        rig.settle().await;
-        assert_eq!(rig.sidecar.hear().unwrap().body, b"whole");
-    });
+        (1, [one.clone(), two].concat(), three, 2, vec![], 3),
+        (8, half.to_vec(), vec![], 0, rest.to_vec(), 1),
+    ];
+    for (room, read, before, taken, after, reqs) in rows {
+        Rig::run(room, None, |mut rig| async move {
+            rig.sidecar.0.write_all(&read).unwrap();
+            while rig.desk.is_empty() && after.is_empty() {
+                future::yield_now().await;
+            }
+            rig.settle().await;
+            rig.sidecar.0.write_all(&before).unwrap();
+            rig.close(taken);
+            rig.settle().await;
+            assert!(rig.is_open());
+            rig.sidecar.0.write_all(&after).unwrap();
+            for stream in 1..=reqs {
+                assert_eq!(rig.taken().await, stream);
+                rig.reply(stream, &[stream as u8]);
+            }
+            rig.settle().await;
+            for stream in 1..=reqs {
+                assert_eq!(rig.sidecar.hear().unwrap().body, [stream as u8]);
+            }
+        });
+    }
 }
 
 /// Guards answers that the sidecar has not taken yet: what it sends after the close is read and handed to nobody, and
@@ -199,7 +159,7 @@
         let mut rest = Vec::new();
         assert_eq!(rig.sidecar.0.read_to_end(&mut rest).map_err(|e| e.kind()), Ok::<_, ErrorKind>(0));
         drop(rig.sidecar);
-        assert!(rig.ended.recv().await.is_err());
+        rig.ended.await;
         assert!(rig.desk.try_recv().is_err(), "nothing was read after the half-close and sent on");
     });
 }
@@ -214,7 +174,7 @@
         }
         assert_eq!(rig.sidecar.0.read(&mut [0]).unwrap(), 0);
         drop(rig.sidecar);
-        assert!(rig.ended.recv().await.is_err());
+        rig.ended.await;
     });
 }
 
--- a/crates/server/tests/leaving.rs
+++ b/crates/server/tests/leaving.rs
@@ -108,35 +108,23 @@
     }
 }
 
-/// Guards answers that left the desk's queue and are not written yet: the process ends when they are, or when its
-/// time is over, not as soon as the queue is empty.
-#[test]
-fn the_end_waits_for_an_answer_that_is_being_written() {
-    let start = Instant::now();
-    let left = Rig::run(|rig| async move {
-        let outgoing = rig.open(1, 100);
-        rig.ask(1, 1);
-        rig.tell(Input::Leave);
-        // The writer takes all that is handed over, and has written none of it: the connection stands.
-        while outgoing.recv().await.is_ok() {}
-        future::pending().await
-    });
-    let end = Duration::from_millis(STOP).mul_f64(0.985);
-    assert!(left && start.elapsed() >= end, "it ended after {:?}", start.elapsed());
-}
-
-/// Guards the time of leaving: the end comes as soon as the last connection has written what it had.
+/// Guards answers that left the desk's queue and are not written yet: the process ends when they are, or when its time
+/// is over, not as soon as the queue is empty; with its connections closed, not before it has stopped listening.
 #[test]
 fn the_end_comes_with_the_last_connection() {
-    let start = Instant::now();
-    let left = Rig::run(|rig| async move {
-        let outgoing = rig.open(1, 100);
-        rig.tell(Input::Leave);
-        while !matches!(outgoing.recv().await, Ok(Outgoing::Close { .. })) {}
-        rig.tell(Input::Closed(ConnId(1)));
-        future::pending().await
-    });
-    assert!(left && start.elapsed() >= Duration::from_millis(STOP).mul_f64(0.88));
+    for (closes, earliest) in [(false, 0.985), (true, 0.88)] {
+        let start = Instant::now();
+        let left = Rig::run(|rig| async move {
+            let outgoing = rig.open(1, 100);
+            rig.ask(1, 1);
+            rig.tell(Input::Leave);
+            // The writer takes all that is handed over, and may have written none of it: the connection stands.
+            while !matches!(outgoing.recv().await, Ok(Outgoing::Close { .. }) if closes) {}
+            rig.tell(Input::Closed(ConnId(1)));
+            future::pending().await
+        });
+        assert!(left && start.elapsed() >= Duration::from_millis(STOP).mul_f64(earliest), "{closes}");
+    }
 }
 
 /// Guards effects: a req that waits for the desk as its connection is given up can carry no answer. It must not run,
@@ -161,75 +149,49 @@
     assert!(!left);
 }
 
-/// What of these settles a req.
-fn settled(outgoing: &async_channel::Receiver<Outgoing>) -> usize {
-    let all = std::iter::from_fn(|| outgoing.try_recv().ok());
-    all.filter(|one| matches!(one, Outgoing::Reply { settles: true, .. })).count()
+/// Every order of `count` things, by the number of the order.
+fn order(count: usize, mut number: usize) -> Vec<usize> {
+    let mut rest: Vec<_> = (0..count).collect();
+    let next = |left| {
+        let at = number % left;
+        number /= left;
+        rest.remove(at)
+    };
+    (1..=count).rev().map(next).collect()
 }
 
-/// Guards the one final answer where the end of the run, the sidecar's cancel, its half-close, the notice to leave and
-/// the end of the connection fall into one turn, in each order: one answer, but where the connection went first none.
+/// Guards the one final answer where the end of the run, the sidecar's cancel, the end of the connection, its half-close,
+/// a malformed frame and the notice to leave fall into one turn, in each order: one answer, none where the connection
+/// went before anything could answer.
 #[test]
 fn what_falls_into_one_turn_answers_once_in_each_order() {
-    type Tell = fn(&Rig, u32);
-    let events: [Tell; 5] = [
-        |rig, n| {
-            let id = WireId::new(&format!("{n:016x}")).unwrap();
-            let (no, end) = (NoticeNo(u64::from(n)), RunEnd::Done);
-            rig.tell(Input::Notice(Notice::Done { no, id, end, result: Vec::new() }));
-        },
-        |rig, n| rig.tell(Input::Cancelled(ConnId(u64::from(n)), Stream(n))),
-        |rig, n| rig.tell(Input::Finished(ConnId(u64::from(n)))),
-        |rig, n| rig.tell(Input::Malformed(ConnId(u64::from(n)), "on purpose")),
-        |rig, n| rig.tell(Input::Closed(ConnId(u64::from(n)))),
-    ];
-    let left = Rig::run(|rig| async move {
-        rig.engine_up().await;
-        // Each order of the five, by the number of the order.
-        for order in 0..120u32 {
-            let (conn, n) = (u64::from(order) + 1, order + 1);
-            let outgoing = rig.open(conn, 100);
-            rig.ask(conn, n);
-            rig.settle().await;
-            assert_eq!(rig.runs(), 1);
-            let (mut rest, mut number) = (vec![0, 1, 2, 3, 4], order as usize);
-            let mut turn = Vec::new();
-            for left in (1..=5).rev() {
-                turn.push(rest.remove(number % left));
-                number /= left;
-            }
-            turn.iter().for_each(|event| events[*event](&rig, n));
-            rig.settle().await;
-            let place = |event| turn.iter().position(|e| *e == event).unwrap();
-            let answers = usize::from(place(4) > place(0).min(place(1)));
-            assert_eq!(settled(&outgoing), answers, "{turn:?}");
-            // The run ends in any case, and leaves its place.
-            events[0](&rig, n);
-        }
-    });
-    assert!(!left);
-}
-
-/// Guards the last answer: the notice to leave falls into the step in which it is handed over, before or after.
-#[test]
-fn the_notice_beside_the_last_answer_loses_neither() {
-    for before in [false, true] {
+    for number in 0..720 {
+        let order = order(6, number);
         let left = Rig::run(|rig| async move {
             rig.engine_up().await;
             let outgoing = rig.open(1, 100);
             rig.ask(1, 1);
             rig.settle().await;
+            assert_eq!(rig.runs(), 1);
             let id = WireId::new(&format!("{:016x}", 1)).unwrap();
-            let done = || Notice::Done { no: NoticeNo(1), id, end: RunEnd::Done, result: Vec::new() };
-            if before {
-                rig.tell(Input::Leave);
-            }
-            rig.tell(Input::Notice(done()));
-            if !before {
-                rig.tell(Input::Leave);
+            for event in &order {
+                rig.tell(match event {
+                    0 => {
+                        let (no, end) = (NoticeNo(1), RunEnd::Done);
+                        Input::Notice(Notice::Done { no, id, end, result: Vec::new() })
+                    }
+                    1 => Input::Cancelled(ConnId(1), Stream(1)),
+                    2 => Input::Closed(ConnId(1)),
+                    3 => Input::Finished(ConnId(1)),
+                    4 => Input::Malformed(ConnId(1), "on purpose"),
+                    _ => Input::Leave,
+                });
             }
             rig.settle().await;
-            assert_eq!(settled(&outgoing), 1);
+            let at = |event| order.iter().position(|e| *e == event);
+            let settled = std::iter::from_fn(|| outgoing.try_recv().ok());
+            let settled = settled.filter(|one| matches!(one, Outgoing::Reply { settles: true, .. })).count();
+            assert_eq!(settled, usize::from(at(2) > at(0).min(at(1))), "{order:?}");
         });
         assert!(!left);
     }
--- a/crates/server/tests/serve/conns.rs
+++ b/crates/server/tests/serve/conns.rs
@@ -59,9 +59,7 @@
     let checks: Vec<u8> = (0..4_096).flat_map(|_| frame(4, 0, &payload(&[], b""))).collect();
     while rude.0.write_all(&checks).is_ok() {}
     rig.logged("a sidecar reads nothing");
-    ask(&mut other, 1, READ, &[], b"");
-    run_through(&mut link, 1, b"");
-    assert_eq!(other.hear().unwrap().code, 1);
+    serves(&mut link, &mut other, 1, READ, &[]);
 }
 
 /// Guards memory: a length is no reason to take room, and frames in part have one bound for all.
@@ -155,7 +153,5 @@
         report(reply);
     }
     drop(report("HTTP/1.1 204 No Content\r\n\r\n"));
-    ask(&mut sidecar, 1, READ, &[], b"");
-    run_through(&mut link, 1, b"");
-    assert_eq!(sidecar.hear().unwrap().code, 1);
+    serves(&mut link, &mut sidecar, 1, READ, &[]);
 }
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -123,9 +123,7 @@
     assert_eq!(sidecar.hear().unwrap().code, 9);
     link.say("SOMETHING new").unwrap();
     link.say(&format!("NO HALT {run}")).unwrap();
-    ask(&mut sidecar, 2, READ, &[], b"");
-    run_through(&mut link, 1, b"");
-    assert_eq!(sidecar.hear().unwrap().code, 1);
+    serves(&mut link, &mut sidecar, 2, READ, &[]);
     rig.logged("an unknown notice");
 }
 
@@ -170,10 +168,6 @@
         }
         link.say_with(&format!("DONE 1 {run} fine 600"), b"late").unwrap();
         link.say(&format!("NO HALT {run}")).unwrap();
-        ask(&mut sidecar, 2, READ, &[], b"");
-        let next =
-            std::iter::repeat_with(|| link.order().unwrap().0).find(|words| words[0] != "HALT").unwrap();
-        link.say_with(&format!("DONE 2 {} fine 1", next[1]), b"next").unwrap();
-        assert_eq!(sidecar.hear().unwrap().body, b"next");
+        serves(&mut link, &mut sidecar, 2, READ, &[]);
     }
 }
--- a/crates/server/tests/serve/reload.rs
+++ b/crates/server/tests/serve/reload.rs
@@ -51,9 +51,7 @@
     for bad in ["", &whole[..whole.len() / 2], "{}"] {
         rig.reload(bad, "the old one stays in force");
     }
-    ask(&mut sidecar, 1, READ, &[], b"");
-    run_through(&mut link, 1, b"still here");
-    assert_eq!(sidecar.hear().unwrap().body, b"still here");
+    serves(&mut link, &mut sidecar, 1, READ, &[]);
     (0..5).for_each(|_| rig.signal("-HUP"));
     rig.reload(&whole, "the configuration was read anew");
     rig.signal("-TERM");
@@ -69,7 +67,7 @@
     let rig = Rig::start();
     let (mut link, mut sidecar) = rig.ready();
     ask(&mut sidecar, 1, PAY, &[], b"");
-    let run = started(&mut link);
+    started(&mut link);
     let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut conf = rig.conf.clone();
     conf["engine"] = json!(elsewhere.local_addr().unwrap().to_string());
@@ -78,7 +76,6 @@
     assert_eq!(half_made.command().unwrap().0[0], "ATTACH");
     rig.reload(&rig.conf.to_string(), "the engine has a new address");
     let mut link = rig.link(0);
-    link.say_with(&format!("DONE 1 {run} fine 1"), b"paid").unwrap();
-    assert_eq!(sidecar.hear().unwrap().body, b"paid");
+    ends(&mut link, &mut sidecar, 1);
     assert!(half_made.command().is_err(), "nothing more is said there");
 }
--- a/crates/server/tests/serve/restarts.rs
+++ b/crates/server/tests/serve/restarts.rs
@@ -10,16 +10,13 @@
 /// Nine in ten are ready within this.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 
-/// The engine's side until its end: a hello after `late`, and answers to all questions.
+/// The engine's side until its end, for the link of the process that was killed and for the new one: a hello after
+/// `late` each, and answers to all questions.
 fn engine(listener: TcpListener, late: Duration) {
     while let Ok(mut link) = Link::accept(&listener) {
         std::thread::sleep(late);
         let _ = link.command().and_then(|_| link.say("HELLO running 5.0"));
-        while let Ok((words, _)) = link.command() {
-            if words[0] == "STAT" && link.say(&format!("STATS {} 0.5 1 0.1 3", words[1])).is_err() {
-                break;
-            }
-        }
+        while link.order().is_ok() {}
     }
 }
 
@@ -42,13 +39,13 @@
     }
 }
 
-/// Guards a fleet whose processes are killed and started all at once, engines late by up to 2.7 s, control plane
+/// Guards a fleet whose processes are killed and started all at once, engines late by up to 5.4 s, control plane
 /// losing up to three reports: nine in ten are ready, with the engine attached, a check answered well and a report
 /// arrived, within 10 s.
 #[test]
 fn nine_in_ten_restarted_processes_are_ready_in_time() {
     let mut rigs: Vec<_> = (0..PROCESSES).map(|_| Rig::start()).collect();
-    rigs.iter_mut().for_each(Rig::restart);
+    rigs.iter_mut().for_each(Rig::again);
     let start = Instant::now();
     let each = rigs.into_iter().enumerate().map(|(n, rig)| {
         std::thread::spawn(move || {
@@ -101,11 +98,7 @@
     let heard = std::iter::repeat_with(|| sidecar.hear().unwrap()).find(|heard| heard.kind == 2).unwrap();
     assert_eq!(heard.body, b"done");
     // Reports were made all the time, to nobody: now they arrive.
-    let mut service = Service::accept(&rig.control).unwrap();
-    while service.asked().is_err() {
-        service = Service::accept(&rig.control).unwrap();
-    }
-    service.reply("204 No Content", "", b"").unwrap();
+    while Service::accept(&rig.control).unwrap().asked().is_err() {}
     // One that comes new finds a place as those that rest go.
     let mut new = rig.sidecar();
     ask(&mut new, 2, READ, &[], b"");
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -3,7 +3,8 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::ops::{Deref, DerefMut};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -53,76 +54,46 @@
     command
 }
 
-pub struct Rig {
-    child: Child,
+/// The program with a file of its own, both of which end with it.
+pub struct Process {
+    option: &'static str,
     path: PathBuf,
-    pub conf: Value,
-    pub addr: SocketAddr,
-    pub engine: TcpListener,
-    pub records: TcpListener,
-    pub control: TcpListener,
-    pub log: Receiver<String>,
+    child: Child,
+    log: Receiver<String>,
 }
 
-impl Rig {
-    pub fn start() -> Self {
-        Self::with(|_| {})
-    }
-
-    pub fn with(change: impl FnOnce(&mut Value)) -> Self {
-        let (mut conf, [engine, records, control]) = with_peers();
-        change(&mut conf);
-        let path = written(&conf.to_string());
-        let mut child = program(&["serve", "--config", path.to_str().unwrap()]).spawn().unwrap();
-        let (addr, log) = served(&mut child);
-        Rig { child, path, conf, addr, engine, records, control, log }
-    }
-
-    /// A link past its hello and the question that fences it off from the link before.
-    pub fn link(&self, last: u64) -> Link {
-        Self::hello(&self.engine, last)
+impl Process {
+    pub fn start(option: &'static str, path: PathBuf) -> Self {
+        let (child, log) = spawned(option, &path);
+        Process { option, path, child, log }
     }
 
-    pub fn hello(engine: &TcpListener, last: u64) -> Link {
-        let mut link = Link::accept(engine).unwrap();
-        assert_eq!(link.command().unwrap().0, ["ATTACH", &last.to_string()]);
-        link.say("HELLO running 5.0").unwrap();
-        let (words, _) = link.command().unwrap();
-        assert_eq!(words[0], "STAT", "the fence comes first");
-        link.say(&format!("STATS {} 0.5 1 0.1 3", words[1])).unwrap();
-        link
-    }
-
-    /// Both, once the server has seen the engine.
-    pub fn ready(&self) -> (Link, Sidecar) {
-        let (link, mut sidecar) = (self.link(0), self.sidecar());
-        while check(&mut sidecar) != 1 {}
-        (link, sidecar)
+    /// Where it listens, once it serves.
+    pub fn serves(&self) -> SocketAddr {
+        self.logged("listen=").split_once("listen=").unwrap().1.trim().parse().unwrap()
     }
 
-    pub fn sidecar(&self) -> Sidecar {
-        Sidecar::connect(self.addr).unwrap()
+    pub fn path(&self) -> &Path {
+        &self.path
     }
 
     pub fn signal(&self, name: &str) {
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
 
-    /// Replaces the configuration and has it read anew.
+    /// Replaces the file and has it read anew.
     pub fn reload(&self, text: &str, logged: &str) {
         std::fs::write(&self.path, text).unwrap();
         self.signal("-HUP");
         self.logged(logged);
     }
 
-    /// Kills the program and starts it again under its address.
-    pub fn restart(&mut self) {
+    /// Kills the program and starts it again with the file as it is then.
+    pub fn restart(&mut self, text: &str) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        self.conf["listen"] = json!(self.addr.to_string());
-        std::fs::write(&self.path, self.conf.to_string()).unwrap();
-        self.child = program(&["serve", "--config", self.path.to_str().unwrap()]).spawn().unwrap();
-        (self.addr, self.log) = served(&mut self.child);
+        std::fs::write(&self.path, text).unwrap();
+        (self.child, self.log) = spawned(self.option, &self.path);
     }
 
     /// How many descriptors the program holds.
@@ -132,15 +103,30 @@
 
     /// How the program ended, and how long that took.
     pub fn ended(&mut self) -> (ExitStatus, Duration) {
-        ends(&mut self.child)
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return (status, start.elapsed());
+            }
+            assert!(start.elapsed() < PATIENCE, "the server does not end");
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
+    /// The next line of its log with these words.
     pub fn logged(&self, words: &str) -> String {
-        logs(&self.log, words)
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).expect(words);
+            if line.contains(words) {
+                return line;
+            }
+        }
     }
 }
 
-impl Drop for Rig {
+impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -148,113 +134,101 @@
     }
 }
 
-/// The program as it starts, with a file that is not there yet.
-pub struct Started {
-    child: Child,
-    log: Receiver<String>,
+/// The program with this file, and what it logs.
+fn spawned(option: &str, path: &Path) -> (Child, Receiver<String>) {
+    let mut child = program(&["serve", option, path.to_str().unwrap()]).spawn().unwrap();
+    let (lines, log) = channel();
+    let stderr = BufReader::new(child.stderr.take().unwrap());
+    std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
+    (child, log)
 }
 
-impl Started {
-    pub fn new(path: &std::path::Path) -> Self {
-        let mut child = program(&["serve", "--config", path.to_str().unwrap()]).spawn().unwrap();
-        let log = lines(&mut child);
-        Started { child, log }
-    }
-
-    pub fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
-    }
-
-    pub fn logged(&self, words: &str) -> String {
-        logs(&self.log, words)
-    }
+/// The program on its own, with a script.
+pub struct Alone {
+    process: Process,
+    pub addr: SocketAddr,
 }
 
-impl Drop for Started {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+impl Alone {
+    pub fn start(script: &str) -> Self {
+        let process = Process::start("--operator", written(script));
+        Alone { addr: process.serves(), process }
     }
 }
 
-/// The program on its own, with a script that is removed at the end.
-pub struct Alone {
-    child: Child,
-    path: PathBuf,
+pub struct Rig {
+    process: Process,
+    pub conf: Value,
     pub addr: SocketAddr,
-    pub log: Receiver<String>,
+    pub engine: TcpListener,
+    pub records: TcpListener,
+    pub control: TcpListener,
 }
 
-impl Alone {
-    pub fn start(script: &str) -> Self {
-        let path = written(script);
-        let mut child = program(&["serve", "--operator", path.to_str().unwrap()]).spawn().unwrap();
-        let (addr, log) = served(&mut child);
-        Alone { child, path, addr, log }
-    }
+/// What holds a process is used as one.
+macro_rules! process {
+    ($of:ty) => {
+        impl Deref for $of {
+            type Target = Process;
+            fn deref(&self) -> &Process {
+                &self.process
+            }
+        }
+        impl DerefMut for $of {
+            fn deref_mut(&mut self) -> &mut Process {
+                &mut self.process
+            }
+        }
+    };
+}
 
-    pub fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
-    }
+process!(Alone);
+process!(Rig);
 
-    pub fn reload(&self, text: &str, logged: &str) {
-        std::fs::write(&self.path, text).unwrap();
-        self.signal("-HUP");
-        logs(&self.log, logged);
+impl Rig {
+    pub fn start() -> Self {
+        Self::with(|_| {})
     }
 
-    pub fn path(&self) -> &std::path::Path {
-        &self.path
+    pub fn with(change: impl FnOnce(&mut Value)) -> Self {
+        let (mut conf, [engine, records, control]) = with_peers();
+        change(&mut conf);
+        let process = Process::start("--config", written(&conf.to_string()));
+        Rig { addr: process.serves(), process, conf, engine, records, control }
     }
 
-    pub fn ended(&mut self) -> (ExitStatus, Duration) {
-        ends(&mut self.child)
+    /// A link past its hello and the question that fences it off from the link before.
+    pub fn link(&self, last: u64) -> Link {
+        Self::hello(&self.engine, last)
     }
-}
 
-impl Drop for Alone {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.path);
+    pub fn hello(engine: &TcpListener, last: u64) -> Link {
+        let mut link = Link::accept(engine).unwrap();
+        assert_eq!(link.command().unwrap().0, ["ATTACH", &last.to_string()]);
+        link.say("HELLO running 5.0").unwrap();
+        let (words, _) = link.command().unwrap();
+        assert_eq!(words[0], "STAT", "the fence comes first");
+        link.say(&format!("STATS {} 0.5 1 0.1 3", words[1])).unwrap();
+        link
     }
-}
 
-/// What a started program logs.
-fn lines(child: &mut Child) -> Receiver<String> {
-    let (lines, log) = channel();
-    let stderr = BufReader::new(child.stderr.take().unwrap());
-    std::thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-    log
-}
-
-/// Where a started program listens, and what it logs from then on.
-fn served(child: &mut Child) -> (SocketAddr, Receiver<String>) {
-    let log = lines(child);
-    let serving = |line: String| line.split_once("listen=").map(|(_, addr)| addr.trim().parse().unwrap());
-    let addr = log.iter().find_map(serving).expect("the server says where it listens");
-    (addr, log)
-}
+    /// Both, once the server has seen the engine.
+    pub fn ready(&self) -> (Link, Sidecar) {
+        let (link, mut sidecar) = (self.link(0), self.sidecar());
+        while check(&mut sidecar) != 1 {}
+        (link, sidecar)
+    }
 
-fn ends(child: &mut Child) -> (ExitStatus, Duration) {
-    let start = Instant::now();
-    loop {
-        if let Some(status) = child.try_wait().unwrap() {
-            return (status, start.elapsed());
-        }
-        assert!(start.elapsed() < PATIENCE, "the server does not end");
-        std::thread::sleep(Duration::from_millis(1));
+    pub fn sidecar(&self) -> Sidecar {
+        Sidecar::connect(self.addr).unwrap()
     }
-}
 
-fn logs(log: &Receiver<String>, words: &str) -> String {
-    let until = Instant::now() + PATIENCE;
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        let line = log.recv_timeout(left).expect(words);
-        if line.contains(words) {
-            return line;
-        }
+    /// Kills the program and starts it again under its address.
+    pub fn again(&mut self) {
+        self.conf["listen"] = json!(self.addr.to_string());
+        let text = self.conf.to_string();
+        self.restart(&text);
+        self.serves();
     }
 }
 
@@ -300,3 +274,19 @@
     child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
     (status.code(), text)
 }
+
+/// The next req is served: what is still said of runs before it is passed over.
+pub fn serves(link: &mut Link, sidecar: &mut Sidecar, number: u32, class: &str, more: &[(&str, &str)]) {
+    ask(sidecar, number, class, more, b"");
+    let next = std::iter::repeat_with(|| link.order().unwrap().0).find(|words| words[0] != "HALT").unwrap();
+    assert_eq!(next[..2], ["RUN".to_string(), id(number.into())]);
+    ends(link, sidecar, number);
+}
+
+/// The run of a req ends, and its result is heard.
+pub fn ends(link: &mut Link, sidecar: &mut Sidecar, number: u32) {
+    let result = format!("result {number}");
+    link.say_with(&format!("DONE {number} {} fine 1", id(number.into())), result.as_bytes()).unwrap();
+    let heard = sidecar.hear().unwrap();
+    assert_eq!((heard.stream, heard.code, heard.body), (number, 1, result.into_bytes()));
+}
