--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -2,6 +2,7 @@
 mod aggregations;
 mod connections;
 mod engine;
+mod fleet;
 mod idempotency;
 mod records_calls;
 mod reload;
@@ -9,4 +10,5 @@
 mod restarts;
 mod rig;
 mod shutdown;
+mod slow_start;
 mod startup;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 //! test or a seeded schedule tells them to.
 
 pub mod fake_dependency;
+pub mod fake_machine;
 pub mod fakes;
 pub mod faulty_link;
 mod threads;
