Slow start: no more work is begun over the overload window than the told speed does

Cause (hypothesis A): a cold server was bounded by its pool and by how many runs it survives at once, never by how much was put on it over time; short runs, or a machine that is faster than its settings tell, let all that a fleet sends pass. Now policy/slow_start.rs counts the work begun over the window in which overload is judged (obligations.fall_ms), by the requests' hints: past what the told speed does in that time nothing starts; what the budget would let begin too late is rejected at once with the time until it has room; the advised share falls with the part of the offered work it has room for. No budget where the server is warm or no window is told. Golden decisions of servers without a window unchanged.

--- a/crates/admission/src/actions.rs
+++ b/crates/admission/src/actions.rs
@@ -32,6 +32,8 @@
     OverMemoryRunning,
     /// Rejected: it arrived past the drain grace.
     PastDrainGrace,
+    /// Rejected: the budget of slow start lets it begin too late for its response target.
+    OverSlowStartBudget,
     /// Rejected: it cannot finish within its response target.
     Unwinnable,
     /// Started.
@@ -54,6 +56,7 @@
             Rule::OverMemoryQueued => "over_memory_queued",
             Rule::OverMemoryRunning => "over_memory_running",
             Rule::PastDrainGrace => "past_drain_grace",
+            Rule::OverSlowStartBudget => "over_slow_start_budget",
             Rule::Unwinnable => "unwinnable",
             Rule::NextToStart => "next_to_start",
             Rule::PastCallWait => "past_call_wait",
--- a/crates/admission/src/config.rs
+++ b/crates/admission/src/config.rs
@@ -54,6 +54,8 @@
     pub start_capacity: f64,
     /// How long after its start a cold server is warm at the latest.
     pub warm_within: Time,
+    /// The time over which overload is judged; zero where it is not told.
+    pub overload_window: Time,
 }
 
 /// Calls to a dependency.
--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -7,6 +7,7 @@
 use crate::policy::cost_estimator::CostEstimator;
 use crate::policy::load_advisor::LoadAdvisor;
 use crate::policy::priority_weights::PriorityWeights;
+use crate::policy::slow_start::SlowStartBudget;
 use crate::policy::termination_threshold::TerminationThreshold;
 use crate::request::{Drain, RequestRecord};
 use crate::request_table::RequestTable;
@@ -49,6 +50,7 @@
 ///         overload_factor: 4.0,
 ///         start_capacity: 1.0,
 ///         warm_within: Time(0),
+///         overload_window: Time(0),
 ///     },
 ///     cancellation: Cancellation::Never,
 ///     loss_window: Time(10_000),
@@ -104,6 +106,7 @@
     pub(crate) requests: RequestTable,
     pub(crate) priorities: PriorityWeights,
     pub(crate) concurrency: ConcurrencyLimit,
+    pub(crate) slow_start: SlowStartBudget,
     pub(crate) termination: TerminationThreshold,
     pub(crate) costs: CostEstimator,
     pub(crate) memory: MemoryLimits,
@@ -123,6 +126,7 @@
             schedule: TickSchedule::new(config.resolution),
             requests: RequestTable::default(),
             priorities: PriorityWeights::new(config),
+            slow_start: SlowStartBudget::new(config.concurrency.overload_window),
             termination: TerminationThreshold::new(config),
             costs: CostEstimator::new(now, config),
             memory: config.memory,
--- a/crates/admission/src/inputs.rs
+++ b/crates/admission/src/inputs.rs
@@ -26,6 +26,8 @@
         self.priorities.count_offered(now, &request);
         self.termination.losses.add_arrival(now);
         self.advisor.count_arrival(now, &arrival);
+        let work = self.full_speed_work(now, &request);
+        self.slow_start.add_offered(now, work);
         self.retain_key(now, &request, &mut actions);
         self.requests.insert(request);
         self.settle(now, actions)
@@ -134,6 +136,7 @@
             .advance(now, self.requests.calling().count(), elapsed);
         self.costs
             .advance(now, self.concurrency.busy_cores(), &self.requests);
+        self.slow_start.advance(now);
         self.dedup_keys.retain(|_, expires_at| *expires_at > now);
     }
 
--- a/crates/admission/src/policy/effects.rs
+++ b/crates/admission/src/policy/effects.rs
@@ -39,6 +39,8 @@
             let retry_after = self.advisor.retry_after(now, read_load, self.excess_burden(now), min_delay);
             (retry_after, self.advisor.discourages_retries(now, read_load))
         };
+        let wait = self.slow_start_wait(now, &request);
+        let retry_after = retry_after.max(wait).min(self.advisor.config.max_retry_after);
         actions.reject.push(Rejection { id, retry_after, do_not_retry });
     }
 
--- a/crates/admission/src/policy/load.rs
+++ b/crates/admission/src/policy/load.rs
@@ -35,7 +35,8 @@
     /// The share of their traffic that is wanted of callers.
     pub(crate) fn wanted_share(&self, now: Time) -> f64 {
         let calm = (1.0 - self.pressure(self.burden(now))).clamp(MIN_ADVICE, 1.0);
-        calm.min(if self.drain.is_some() { 0.0 } else { self.concurrency.capacity(now) })
+        let warm = self.concurrency.capacity(now) * self.slow_start_share(now);
+        calm.min(if self.drain.is_some() { 0.0 } else { warm })
     }
 
     /// Departure: while requests wait unread the limit shrinks, so that the cores read first: what waits
--- a/crates/admission/src/policy/mod.rs
+++ b/crates/admission/src/policy/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod load_advisor;
 pub(crate) mod priority_weights;
 pub(crate) mod rules;
+pub(crate) mod slow_start;
 pub(crate) mod termination_threshold;
--- a/crates/admission/src/policy/rules.rs
+++ b/crates/admission/src/policy/rules.rs
@@ -13,7 +13,7 @@
 
 impl AdmissionController {
     /// Gone through from the top after every input until none fires; each firing settles one request.
-    const RULES: [(Rule, Condition, Effect); 12] = [
+    const RULES: [(Rule, Condition, Effect); 13] = [
         (Rule::UnstartedAtDeadline, Self::unstarted_at_deadline, Self::reject),
         (Rule::AtDeadline, Self::at_deadline, Self::terminate),
         (Rule::Duplicate, Self::duplicate, Self::coalesce),
@@ -22,6 +22,7 @@
         (Rule::OverMemoryQueued, Self::over_memory_queued, Self::reject),
         (Rule::OverMemoryRunning, Self::over_memory_running, Self::terminate),
         (Rule::PastDrainGrace, Self::past_drain_grace, Self::reject),
+        (Rule::OverSlowStartBudget, Self::over_slow_start_budget, Self::reject),
         (Rule::Unwinnable, Self::unwinnable, Self::reject),
         (Rule::NextToStart, Self::next_to_start, Self::start),
         (Rule::PastCallWait, Self::past_call_wait, Self::skip_call),
@@ -138,7 +139,7 @@
     }
 
     /// When a queued request must be predicted to finish: with a margin while it has just arrived.
-    fn latest_finish(&self, now: Time, request: &RequestRecord) -> Time {
+    pub(crate) fn latest_finish(&self, now: Time, request: &RequestRecord) -> Time {
         let margin = if request.phase_since == now { TARGET_MARGIN } else { 1.0 };
         let target = request.target_at - request.arrived_at;
         (request.arrived_at + target.scaled(margin)).min(self.deadline(request))
@@ -162,7 +163,8 @@
                 && (calls_flow || !self.priorities.handler(request).makes_calls)
                 && self.memory.extra_to_start(request) <= free_memory
         };
-        self.start_order(now).into_iter().find(may_start).map(RequestRecord::id)
+        let first = self.start_order(now).into_iter().find(may_start);
+        first.filter(|r| self.fits_slow_start(now, r)).map(RequestRecord::id)
     }
 
     /// Where its value allows, a request that has waited long for its call goes on without it.
--- a/crates/admission/tests/decide/config.rs
+++ b/crates/admission/tests/decide/config.rs
@@ -25,6 +25,7 @@
             overload_factor: scale,
             start_capacity: scale.min(1.0),
             warm_within: duration,
+            overload_window: duration,
         },
         cancellation: Cancellation::Drop,
         loss_window: duration,
--- a/crates/admission/tests/decide/invariants.rs
+++ b/crates/admission/tests/decide/invariants.rs
@@ -29,6 +29,8 @@
         skip_value: if choice & 128 != 0 { 0.5 } else { 0.0 },
         memory_limit_kb: if choice & 256 != 0 { 600.0 } else { 1e6 },
         expected_callers: [0.0, 4.0, 5000.0][index / 1024 % 3],
+        overload_window: Time(if choice & 0x8000 != 0 { 30_000 } else { 0 }),
+        has_hints: choice & 0x8000 != 0,
     }
 }
 
--- a/crates/admission/tests/decide/main.rs
+++ b/crates/admission/tests/decide/main.rs
@@ -8,5 +8,6 @@
 mod golden;
 mod invariants;
 mod server_model;
+mod slow_start;
 mod termination;
 mod workloads;
--- a/crates/admission/tests/decide/server_model.rs
+++ b/crates/admission/tests/decide/server_model.rs
@@ -38,6 +38,10 @@
     pub(crate) skip_value: f64,
     pub(crate) memory_limit_kb: f64,
     pub(crate) expected_callers: f64,
+    /// Over which overload is judged; zero has no budget of slow start.
+    pub(crate) overload_window: Time,
+    /// Whether requests tell their work.
+    pub(crate) has_hints: bool,
 }
 
 pub(crate) const DEFAULT_SETUP: Setup = Setup {
@@ -49,6 +53,8 @@
     skip_value: 0.0,
     memory_limit_kb: 1e6,
     expected_callers: 4.0,
+    overload_window: Time(0),
+    has_hints: false,
 };
 pub(crate) const CORES: usize = 2;
 pub(crate) const OVERLOAD_FACTOR: f64 = 4.0;
@@ -56,9 +62,11 @@
 pub(crate) const CLIENT_TIMEOUT: Time = Time(30_000);
 pub(crate) const DRAIN_GRACE: Time = Time(10_000);
 pub(crate) const MAX_IDLE: Time = Time(80_000);
+/// The work of each request on a core at full speed, where it is told.
+pub(crate) const FULL_SPEED_WORK: Time = Time(1_250);
+pub(crate) const WARM_WITHIN: Time = Time(100_000);
 const STARTED_AT: Time = Time(50_000);
-const START_CAPACITY: f64 = 0.25;
-const WARM_WITHIN: Time = Time(100_000);
+pub(crate) const START_CAPACITY: f64 = 0.25;
 const DEDUP_WINDOW: Time = Time(20_000);
 const MEMORY_KB: f64 = 10.0;
 const RUNNING_MEMORY_FACTOR: f64 = 8.0;
@@ -97,6 +105,8 @@
     pub(crate) tenant: Option<usize>,
     /// Who sends them, where told.
     pub(crate) caller: Option<CallerId>,
+    /// When runs were begun.
+    begun: Vec<Time>,
     next_id: u32,
 }
 
@@ -132,6 +142,7 @@
             overload_factor: OVERLOAD_FACTOR,
             start_capacity: if setup.is_cold { START_CAPACITY } else { 1.0 },
             warm_within: WARM_WITHIN,
+            overload_window: setup.overload_window,
         },
         cancellation: setup.cancellation,
         loss_window: RESPONSE_TARGET,
@@ -178,6 +189,7 @@
             idle_timeout: MAX_IDLE,
             tenant: None,
             caller: None,
+            begun: vec![],
             next_id: 1,
         };
         server.tick(0.0);
@@ -223,7 +235,7 @@
             handler: HandlerId(handler),
             tenant: Some(TenantId(self.tenant.unwrap_or(id.0 as usize % 4))),
             caller: self.caller,
-            cost_hint: None,
+            cost_hint: self.setup.has_hints.then_some(FULL_SPEED_WORK),
             is_retry: id.0.is_multiple_of(5),
             duplicate_of,
             memory_kb: MEMORY_KB,
@@ -467,6 +479,7 @@
         let request = self.requests.get_mut(&id).unwrap();
         request.state = State::Running;
         request.was_started = true;
+        self.begun.push(self.now);
     }
 
     fn call(&mut self, id: RequestId, timeout: Time) {
@@ -487,6 +500,38 @@
         self.check_answers();
         self.check_concurrency();
         self.check_memory();
+        self.check_slow_start();
+    }
+
+    /// Over any window a server in slow start begins no more than its budget, with a margin for chance.
+    fn check_slow_start(&self) {
+        let window = self.setup.overload_window;
+        let capacity = self.capacity();
+        if window == Time(0) || capacity >= 1.0 {
+            return;
+        }
+        let begun = self.begun.iter().rev();
+        let begun = begun.take_while(|at| **at + window > self.now).count() as f64;
+        let expected = CORES as f64 * capacity * window.as_f64() / FULL_SPEED_WORK.as_f64();
+        let margin = if expected < 30.0 {
+            3.0 * expected.sqrt() + 3.0
+        } else {
+            2.0 * expected.sqrt() + 2.0
+        };
+        assert!(
+            begun <= expected + margin,
+            "fall-over: {begun} begun in slow start, {expected} expected"
+        );
+    }
+
+    /// The fraction of its speed that the settings let the server have reached.
+    fn capacity(&self) -> f64 {
+        let warm_fraction = if self.setup.is_cold {
+            (self.now - STARTED_AT).as_f64() / WARM_WITHIN.as_f64()
+        } else {
+            1.0
+        };
+        (START_CAPACITY + (1.0 - START_CAPACITY) * warm_fraction).min(1.0)
     }
 
     fn check_answers(&self) {
@@ -505,13 +550,7 @@
     }
 
     fn check_concurrency(&self) {
-        let warm_fraction = if self.setup.is_cold {
-            (self.now - STARTED_AT).as_f64() / WARM_WITHIN.as_f64()
-        } else {
-            1.0
-        };
-        let capacity = (START_CAPACITY + (1.0 - START_CAPACITY) * warm_fraction).min(1.0);
-        let ceiling = 1.0 + (OVERLOAD_FACTOR - 1.0) * capacity;
+        let ceiling = 1.0 + (OVERLOAD_FACTOR - 1.0) * self.capacity();
         let running = self.count(State::Running) as f64;
         let on_core = self.runnable_tasks.unwrap_or(f64::MAX).min(running);
         assert!(
--- a/crates/settings/src/admission.rs
+++ b/crates/settings/src/admission.rs
@@ -57,6 +57,7 @@
         overload_factor,
         start_capacity,
         warm_within: duration(rules, "warm_within_ms")?,
+        overload_window: duration(rules, "fall_ms")?,
     };
     Ok(AdmissionConfig {
         memory: memory_limits(info)?,
