--- a/crates/server/tests/serve/fleet.rs
+++ b/crates/server/tests/serve/fleet.rs
@@ -10,14 +10,16 @@
 
 /// Over which the settings average what runs, and in which a budget counts.
 pub(crate) const OVERLOAD_WINDOW: Duration = Duration::from_secs(3);
-/// The client timeout of the requests that are sent.
-const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The client timeout of most fleets.
+pub(crate) const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// By which an answer may be later on a machine that other tests keep busy.
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// How long an advised share of traffic is heeded.
 const ADVICE_LIFETIME: Duration = Duration::from_secs(1);
 /// Servers that a sidecar tries for one request.
 const MAX_TRIES: u32 = 2;
+/// Calls of one server that the shared dependency survives in the mean.
+pub(crate) const CALL_SHARE: f64 = 2.0;
 const SIDECARS: u64 = 4;
 /// Codes of an answer.
 const REJECTED: u8 = 0;
@@ -36,6 +38,8 @@
     pub(crate) effect: &'static str,
     /// Whether sidecars heed advice and stay away when told to.
     pub(crate) heeds_advice: bool,
+    /// After which a client waits no longer.
+    pub(crate) client_timeout: Duration,
 }
 
 /// A server process and its machine.
@@ -44,8 +48,8 @@
     process: Option<Process>,
     conf: Value,
     pub(crate) addr: SocketAddr,
-    /// The other ends that it needs: they accept nothing.
-    _peers: [std::net::TcpListener; 3],
+    /// The other ends that it has; all but the records service accept nothing.
+    pub(crate) peers: [std::net::TcpListener; 3],
 }
 
 impl Server {
@@ -63,7 +67,7 @@
             process: Some(process),
             conf,
             addr,
-            _peers: peers,
+            peers,
         }
     }
 
@@ -87,13 +91,15 @@
     let ms = |duration: Duration| json!(duration.as_secs_f64() * 1e3);
     settings["classes"] = json!([{
         "name": READ, "effect": config.effect, "credit": 1.0, "late_value": 0.2, "dedup_window_ms": 2_000.0,
-        "aim_ms": 500.0, "deadline_ms": ms(CLIENT_TIMEOUT),
+        "aim_ms": ms(config.client_timeout / 3), "deadline_ms": ms(config.client_timeout),
     }]);
     settings["group_size"] = json!(config.servers);
     let info = &mut settings["family_info"];
     info["n_cores"] = json!(machine.cores as u64);
-    info["class_calls"] = json!([false]);
-    info["class_skip_worth"] = json!([0.0]);
+    info["class_calls"] = json!([machine.makes_calls]);
+    info["class_skip_worth"] = json!([if machine.makes_calls { 0.5 } else { 0.0 }]);
+    info["dep_share"] = json!(CALL_SHARE);
+    info["calls_over_ms"] = ms(OVERLOAD_WINDOW);
     info["upstreams"] = json!(SIDECARS);
     let rules = &mut settings["obligations"];
     rules["overload_factor"] = json!(machine.overload_factor);
@@ -245,7 +251,7 @@
             });
             due += interval.mul_f64(2.0 * self.draw());
         }
-        std::thread::sleep(CLIENT_TIMEOUT + ANSWER_SLACK);
+        std::thread::sleep(self.config.client_timeout + ANSWER_SLACK);
         let state = self.state();
         let connected = state.servers.iter().filter(|known| known.is_connected);
         let unanswered: usize = connected.map(|known| known.pending.len()).sum();
@@ -300,11 +306,12 @@
         let Ok(connection) = FakeSidecar::connect(self.addrs[server]) else {
             return false;
         };
+        let client_timeout = self.config.client_timeout;
         let reader = FakeSidecar(connection.0.try_clone().unwrap());
         self.connections[server] = Some(connection);
         self.state().servers[server].is_connected = true;
         let state = self.state.clone();
-        std::thread::spawn(move || read_answers(reader, server, &state));
+        std::thread::spawn(move || read_answers(reader, server, client_timeout, &state));
         true
     }
 
@@ -341,7 +348,12 @@
 }
 
 /// Reads answers until the connection ends.
-fn read_answers(mut reader: FakeSidecar, server: usize, state: &Mutex<SidecarState>) {
+fn read_answers(
+    mut reader: FakeSidecar,
+    server: usize,
+    client_timeout: Duration,
+    state: &Mutex<SidecarState>,
+) {
     loop {
         let Ok(frame) = reader.receive() else {
             let mut state = state.lock().unwrap();
@@ -349,12 +361,13 @@
             state.servers[server].pending.clear();
             return;
         };
-        state.lock().unwrap().take_answer(server, &frame);
+        let mut state = state.lock().unwrap();
+        state.take_answer(server, client_timeout, &frame);
     }
 }
 
 impl SidecarState {
-    fn take_answer(&mut self, server: usize, frame: &ReceivedFrame) {
+    fn take_answer(&mut self, server: usize, client_timeout: Duration, frame: &ReceivedFrame) {
         let number = |name| frame.field(name).and_then(|text| text.parse::<f64>().ok());
         let known = &mut self.servers[server];
         if let Some(share) = number("say") {
@@ -367,7 +380,7 @@
         let Some(attempt) = known.pending.remove(&frame.stream) else {
             return;
         };
-        let is_late = attempt.sent_at.elapsed() > CLIENT_TIMEOUT + ANSWER_SLACK;
+        let is_late = attempt.sent_at.elapsed() > client_timeout + ANSWER_SLACK;
         self.outcomes.lost += u64::from(is_late);
         match frame.code {
             COMPLETED => self.outcomes.completed += 1,
--- a/crates/server/tests/serve/slow_start.rs
+++ b/crates/server/tests/serve/slow_start.rs
@@ -18,6 +18,7 @@
     told_cold_speed: 0.26,
     told_warm_within: Duration::from_secs(18),
     overload_factor: 8.0,
+    makes_calls: false,
 };
 
 /// What a server in slow start may begin over the window: `expected` requests of mean work, and a margin for chance.
@@ -87,6 +88,7 @@
         rate: 110.0,
         effect: "repeatable",
         heeds_advice: true,
+        client_timeout: CLIENT_TIMEOUT,
     });
 }
 
@@ -100,6 +102,7 @@
         rate: 50.0,
         effect: "by_key",
         heeds_advice: false,
+        client_timeout: CLIENT_TIMEOUT,
     });
 }
 
@@ -117,5 +120,6 @@
         rate: 20.0,
         effect: "once",
         heeds_advice: false,
+        client_timeout: CLIENT_TIMEOUT,
     });
 }
--- a/crates/test-support/src/fake_machine/cores.rs
+++ b/crates/test-support/src/fake_machine/cores.rs
@@ -17,6 +17,8 @@
     pub told_warm_within: Duration,
     /// Runs a core that it survives when warm.
     pub overload_factor: f64,
+    /// Whether each run wants one call before it goes on the cores.
+    pub makes_calls: bool,
 }
 
 /// How a machine starts.
@@ -56,6 +58,8 @@
     is_hung: bool,
     /// Seconds of work left, by the id of the run.
     runs: BTreeMap<String, f64>,
+    /// The same, of runs that wait for their call.
+    at_call: BTreeMap<String, f64>,
     begun: Vec<BegunRun>,
     steps: Vec<CrowdingStep>,
     /// The number of the last notice of this life.
@@ -77,6 +81,7 @@
             advanced_at: now,
             is_hung: false,
             runs: BTreeMap::new(),
+            at_call: BTreeMap::new(),
             begun: Vec::new(),
             steps: Vec::new(),
             last_notice: 0,
@@ -157,7 +162,7 @@
     }
 
     fn end(&mut self, id: &str, outcome: &str) {
-        if self.runs.remove(id).is_some() {
+        if self.runs.remove(id).or(self.at_call.remove(id)).is_some() {
             self.last_notice += 1;
             let notice = self.last_notice;
             self.notices
@@ -167,12 +172,27 @@
 
     /// Puts a run on the cores; one that runs already is left alone.
     pub(super) fn run(&mut self, id: &str, work: f64, now: Instant) {
-        if self.runs.contains_key(id) {
+        if self.runs.contains_key(id) || self.at_call.contains_key(id) {
             return;
         }
-        self.runs.insert(id.to_string(), work);
         let at = now.duration_since(self.started_at);
         self.begun.push(BegunRun { at, work });
+        if self.config.makes_calls {
+            self.at_call.insert(id.to_string(), work);
+            self.last_notice += 1;
+            let notice = self.last_notice;
+            self.notices
+                .push_back(format!("NEED {notice} {id} 4\r\ncall\r\n"));
+        } else {
+            self.runs.insert(id.to_string(), work);
+        }
+    }
+
+    /// Lets a run go on from its call.
+    pub(super) fn resume(&mut self, id: &str) {
+        if let Some(work) = self.at_call.remove(id) {
+            self.runs.insert(id.to_string(), work);
+        }
     }
 
     pub(super) fn halt(&mut self, id: &str) {
--- a/crates/test-support/src/fake_machine/link.rs
+++ b/crates/test-support/src/fake_machine/link.rs
@@ -76,6 +76,10 @@
             cores.halt(&words[1]);
             None
         }
+        "FEED" | "SKIP" => {
+            cores.resume(&words[1]);
+            None
+        }
         "STAT" => Some(format!("STATS {} {}", words[1], cores.gauges())),
         "TEST" => Some(format!("TESTED {} fine", words[1])),
         _ => None,
