Calls: one whose connection broke counts as in flight for as long as it may go on

Now such a call is interrupted: it counts for the told linger (for an aggregation's dependency its grace), and is made again at once only where the share has room beside it; a reply that has begun still shows its end. The same for pooled connections that turn out broken. The random runs of the aggregations now leave such calls running: without the change in call.rs they fail.

--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -53,6 +53,8 @@
     Failed,
     /// It may have had its effect, and may still be running.
     Indeterminate,
+    /// Its connection broke, which proves nothing: it may have had its effect, and may still be running.
+    Interrupted,
 }
 
 /// What the server's own gauges read.
--- a/crates/admission/src/policy/call_limiter.rs
+++ b/crates/admission/src/policy/call_limiter.rs
@@ -103,7 +103,8 @@
         };
         self.limit = limit.clamp(self.min_limit(outcome), self.max_limit);
         self.next_call_at = now + time.scaled((1.0 / self.limit - 1.0).max(0.0));
-        if outcome == CallOutcome::Indeterminate {
+        // Guards what is shared: a call that has shown no end is there still, and the next runs beside it.
+        if matches!(outcome, CallOutcome::Indeterminate | CallOutcome::Interrupted) {
             self.occupancy.add_abandoned(now);
         }
     }
--- a/crates/admission/src/policy/effects.rs
+++ b/crates/admission/src/policy/effects.rs
@@ -76,17 +76,22 @@
     pub(crate) fn continue_after_call(
         &mut self, now: Time, id: RequestId, outcome: CallOutcome, actions: &mut Actions,
     ) {
-        let Some(request) = self.requests.get_mut(id) else { return };
+        let Some(request) = self.requests.get(id) else { return };
         let handler = self.priorities.handler(request);
-        let has_failed = outcome == CallOutcome::Failed;
+        let has_failed = matches!(outcome, CallOutcome::Failed | CallOutcome::Interrupted);
         let is_safe =
             handler.idempotency == Idempotency::Idempotent && (has_failed || self.calls.has_spare());
         let may_repeat = is_safe || outcome == CallOutcome::NotExecuted;
         let repeats = may_repeat && request.attempts < MAX_ATTEMPTS;
         let may_skip = handler.skip_value > 0.0 && !request.answered;
+        let others_in_flight = self.requests.calling().count() - 1;
+        // One that failed has left its place to the next; one whose connection broke may hold it still.
+        let has_place = outcome == CallOutcome::Failed
+            || outcome == CallOutcome::Interrupted && self.calls.may_call(now, others_in_flight);
+        let Some(request) = self.requests.get_mut(id) else { return };
         match outcome {
             CallOutcome::Completed => request.resume(self.costs.core_clock),
-            CallOutcome::Failed if repeats => self.call(now, id, actions),
+            _ if repeats && has_place => self.call(now, id, actions),
             _ if repeats => request.phase = Phase::AwaitingCall,
             _ if may_skip => self.skip_call(now, id, actions),
             _ => self.terminate(now, id, actions),
--- a/crates/admission/tests/decide/calls.rs
+++ b/crates/admission/tests/decide/calls.rs
@@ -18,6 +18,25 @@
     assert!(server.count(State::AwaitingCall) > 0);
 }
 
+#[test]
+fn counts_a_call_whose_connection_broke_for_as_long_as_it_may_go_on() {
+    // A broken connection passed for the end of its call, which was made again at once: the dependency held both, and
+    // at the rate of a network that breaks all connections nineteen times its share.
+    let mut server = ServerModel::new(Setup {
+        call_share: Some(3.0),
+        ..DEFAULT_SETUP
+    });
+    let id = server.arrive(0, Time(0), CLIENT_TIMEOUT, None);
+    server.want_call(id);
+    // There is room for another beside it, and for no third.
+    server.end_call(id, CallOutcome::Interrupted);
+    assert_eq!(server.count(State::Calling), 1);
+    server.end_call(id, CallOutcome::Interrupted);
+    assert_eq!(server.count(State::Calling), 0);
+    server.advance(Time(3_000));
+    assert_eq!(server.count(State::Calling), 1, "its place is free again");
+}
+
 #[test]
 fn keeps_calls_within_a_share_below_one_when_they_hang() {
     // The mean in flight was looked at as a call began; calls that then hung took it to three times the share. Only
--- a/crates/admission/tests/decide/server_model.rs
+++ b/crates/admission/tests/decide/server_model.rs
@@ -299,7 +299,7 @@
             State::AwaitingCall
         };
         request.call_may_have_run |=
-            matches!(outcome, CallOutcome::Indeterminate | CallOutcome::Failed);
+            !matches!(outcome, CallOutcome::Completed | CallOutcome::NotExecuted);
         let actions = self.controller.call_ended(self.now, id, outcome);
         self.apply(actions);
     }
--- a/crates/dependency/src/aggregator/call.rs
+++ b/crates/dependency/src/aggregator/call.rs
@@ -18,7 +18,7 @@
 fn signal_of(result: &CallResult) -> CallSignal {
     match result {
         CallResult::Success(_) => CallSignal::Success,
-        CallResult::Failure => CallSignal::Failure,
+        CallResult::Failure | CallResult::Interrupted => CallSignal::Failure,
         CallResult::Rejected | CallResult::TimedOut => CallSignal::Overload,
         CallResult::InvalidRequest | CallResult::StaleConnection | CallResult::LeaseExpired => {
             CallSignal::Ignored
@@ -103,7 +103,11 @@
             return Vec::new();
         };
         call.timestamp.finish();
-        let may_still_run = result == CallResult::TimedOut;
+        // Guards the ceiling: a connection that broke proves nothing of the call that was sent on it.
+        let may_still_run = matches!(
+            result,
+            CallResult::TimedOut | CallResult::Interrupted | CallResult::StaleConnection
+        );
         if let Some(gate) = self.gates.get_mut(&call.gate) {
             gate.hedge_queue.retain(|other| *other != id);
             if may_still_run {
--- a/crates/dependency/src/messages.rs
+++ b/crates/dependency/src/messages.rs
@@ -59,7 +59,9 @@
     Rejected,
     /// It may have run and may still be running.
     TimedOut,
-    /// A reused connection broke before any reply.
+    /// Its connection broke once it was sent: it may have run and may still be running.
+    Interrupted,
+    /// A reused connection broke before any reply; mostly it was closed already, and nothing ran.
     StaleConnection,
     /// Known not to have run: the lease that it was issued under expired before it was sent.
     LeaseExpired,
--- a/crates/dependency/tests/random.rs
+++ b/crates/dependency/tests/random.rs
@@ -409,8 +409,12 @@
             6 => CallResult::Failure,
             7 => CallResult::InvalidRequest,
             8 => CallResult::Rejected,
-            _ if self.random.bool() => CallResult::StaleConnection,
-            _ => CallResult::TimedOut,
+            _ => [
+                CallResult::StaleConnection,
+                CallResult::Interrupted,
+                CallResult::TimedOut,
+            ][self.random.usize(0..3)]
+            .clone(),
         };
         self.end_call(call, result);
     }
@@ -422,7 +426,12 @@
             self.send_first_byte(id);
         }
         let call = self.open_calls.remove(&id).expect("the call is open");
-        if result == CallResult::TimedOut {
+        let may_still_run = [
+            CallResult::StaleConnection,
+            CallResult::Interrupted,
+            CallResult::TimedOut,
+        ];
+        if may_still_run.contains(&result) {
             self.leave_running(call.dependency);
         }
         let actions = self.aggregator.handle_call_result(self.now, id, result);
--- a/crates/server/src/event.rs
+++ b/crates/server/src/event.rs
@@ -109,6 +109,9 @@
     /// It was begun, and goes on no longer.
     #[error("ended: {0}")]
     Ended(&'static str),
+    /// Its connection broke once it was sent, which proves nothing: it may go on.
+    #[error("interrupted: {0}")]
+    Interrupted(&'static str),
 }
 
 impl CallError {
@@ -118,6 +121,7 @@
             CallError::NotBegun(_) => CallOutcome::NotExecuted,
             CallError::MaybeBegun(_) => CallOutcome::Indeterminate,
             CallError::Ended(_) => CallOutcome::Failed,
+            CallError::Interrupted(_) => CallOutcome::Interrupted,
         }
     }
 }
--- a/crates/server/src/execution/engine.rs
+++ b/crates/server/src/execution/engine.rs
@@ -361,7 +361,9 @@
                 tracing::debug!(?error, id = ?run.wire_id, call = number.0, "call to the records service failed");
                 match error {
                     CallError::NotBegun(_) => self.counters.not_begun += 1,
-                    CallError::MaybeBegun(_) | CallError::Ended(_) => self.counters.failed += 1,
+                    CallError::MaybeBegun(_) | CallError::Ended(_) | CallError::Interrupted(_) => {
+                        self.counters.failed += 1
+                    }
                 }
                 error.outcome()
             }
--- a/crates/server/src/outbound/dependency_call.rs
+++ b/crates/server/src/outbound/dependency_call.rs
@@ -51,6 +51,7 @@
         Err(CallError::NotBegun(_)) => return CallResult::Rejected,
         Err(CallError::MaybeBegun(_)) => return CallResult::TimedOut,
         Err(CallError::Ended(_)) => return CallResult::Failure,
+        Err(CallError::Interrupted(_)) => return CallResult::Interrupted,
     };
     let Exchange {
         response,
--- a/crates/server/src/outbound/http_client.rs
+++ b/crates/server/src/outbound/http_client.rs
@@ -60,8 +60,10 @@
         sent.set(Some((&mut &*stream).write_all(request).await.is_ok()));
         future::pending().await
     };
+    // Guards what is called: a connection that breaks proves nothing of what was sent on it, until a reply has begun.
     let broken = |why| match sent.get() {
-        Some(true) => CallError::Ended(why),
+        Some(true) if progress.has_received.get() => CallError::Ended(why),
+        Some(true) => CallError::Interrupted(why),
         _ => CallError::MaybeBegun("broke while it was sent"),
     };
     let reading = async {
--- a/crates/server/tests/http_client.rs
+++ b/crates/server/tests/http_client.rs
@@ -2,7 +2,7 @@
 use async_io::Async;
 use cottondyke::event::CallError;
 use cottondyke::outbound::http_client::{exchange, Exchange, ExchangeProgress};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -41,3 +41,25 @@
         );
     }
 }
+
+/// Guards a service against calls beside those whose connections broke: only a reply that has begun shows that the call
+/// has ended.
+#[test]
+fn tells_a_call_that_may_go_on_from_one_whose_reply_was_cut() {
+    for (reply, has_ended) in [(&b""[..], false), (b"HTTP/1.1 200 OK\r\nContent-Le", true)] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (mut service, _) = listener.accept().unwrap();
+        let answering = std::thread::spawn(move || {
+            service.read_exact(&mut [0; 16]).unwrap();
+            service.write_all(reply).unwrap();
+        });
+        let mut stream = Async::new(stream).unwrap();
+        let progress = ExchangeProgress::default();
+        let error = async_io::block_on(exchange(&mut stream, &[7; 16], &progress)).unwrap_err();
+        answering.join().unwrap();
+        let ended = matches!(error, CallError::Ended(_));
+        let interrupted = matches!(error, CallError::Interrupted(_));
+        assert_eq!((ended, interrupted), (has_ended, !has_ended), "{error:?}");
+    }
+}
