Overdue runs: they stay among what the machine survives until their end is known

Now a run that was written to a link which stood on is overdue: it takes no place of the pool, so others run beside it, but counts with its memory among what the machine survives until its end is known. Only one whose command may have been lost, written within a second before its link broke and without a sign of life, or that waits at a call, is abandoned as before. The test abandons_a_run_that_never_ends asked for the fault (a place free again on a link that stood) and is replaced by two: a lost command frees its place; overdue runs leave no more room than the machine survives, also after a later break.

--- a/crates/admission/src/inputs.rs
+++ b/crates/admission/src/inputs.rs
@@ -52,6 +52,18 @@
         self.settle(now, Actions::default())
     }
 
+    /// A run has shown no end long after its request was answered. It takes no place of the pool any longer, so that others
+    /// run beside it; but it is on the machine, and counts among what that survives until its end is known.
+    pub fn run_overdue(&mut self, now: Time, id: RequestId) -> Actions {
+        self.advance(now);
+        if let Some(request) = self.requests.get_mut(id) {
+            if request.phase == Phase::Running && request.answered {
+                request.phase = Phase::Overdue;
+            }
+        }
+        self.settle(now, Actions::default())
+    }
+
     /// A run wants to call a dependency and waits for it.
     pub fn call_wanted(&mut self, now: Time, id: RequestId) -> Actions {
         self.advance(now);
--- a/crates/admission/src/policy/rules.rs
+++ b/crates/admission/src/policy/rules.rs
@@ -79,7 +79,7 @@
     /// cancelled is, until no more run than that.
     fn over_survivable_concurrency(&self, now: Time) -> Option<RequestId> {
         let stays = |r: &&RequestRecord| !(r.answered && self.is_cancellable(r));
-        let staying = self.requests.on_core().filter(stays).count() as f64;
+        let staying = self.requests.on_core().filter(stays).chain(self.requests.overdue()).count() as f64;
         let runnable = self.concurrency.runnable.unwrap_or(staying);
         self.youngest_cancellable().filter(|_| runnable.min(staying) > self.concurrency.ceiling(now))
     }
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -11,6 +11,8 @@
     /// Waits for the response of the request it repeats.
     Coalesced,
     Running,
+    /// Put on the cores, answered, and long past its deadline: whether it has a core is not known.
+    Overdue,
     /// Waits to make a call.
     AwaitingCall,
     Calling,
--- a/crates/admission/src/request_table.rs
+++ b/crates/admission/src/request_table.rs
@@ -46,7 +46,7 @@
         self.in_phase(Phase::Coalesced)
     }
 
-    /// On the cores or at a call, answered or not.
+    /// On the cores, overdue or at a call, answered or not.
     pub(crate) fn started(&self) -> impl Iterator<Item = &RequestRecord> {
         self.iter().filter(|r| is_started(r))
     }
@@ -56,6 +56,11 @@
         self.in_phase(Phase::Running)
     }
 
+    /// Put on the cores, and long past their deadlines.
+    pub(crate) fn overdue(&self) -> impl Iterator<Item = &RequestRecord> {
+        self.in_phase(Phase::Overdue)
+    }
+
     /// Waiting to make a call, and not answered.
     pub(crate) fn awaiting_call(&self) -> impl Iterator<Item = &RequestRecord> {
         self.unanswered().filter(|r| r.phase == Phase::AwaitingCall)
--- a/crates/admission/src/status.rs
+++ b/crates/admission/src/status.rs
@@ -18,6 +18,8 @@
     pub queued: usize,
     /// Requests on the cores.
     pub on_core: usize,
+    /// Runs on the machine that have shown no end long after their requests were answered.
+    pub overdue: usize,
     /// Requests that wait to make a call.
     pub awaiting_call: usize,
     /// Calls in flight.
@@ -38,6 +40,7 @@
             utilization: self.concurrency.utilization,
             queued: self.requests.queued().count(),
             on_core: self.requests.on_core().count(),
+            overdue: self.requests.overdue().count(),
             awaiting_call: self.requests.awaiting_call().count(),
             calling: self.requests.calling().count(),
             abandoned_calls: self.calls.occupancy.abandoned(),
--- a/crates/admission/tests/decide/concurrency.rs
+++ b/crates/admission/tests/decide/concurrency.rs
@@ -97,3 +97,26 @@
         server.rejections
     );
 }
+
+#[test]
+fn counts_overdue_runs_among_what_the_server_survives_and_not_in_the_pool() {
+    // Runs that hang were taken off the books long after their callers gave up: others were put beside them without end.
+    let ceiling = (CORES as f64 * OVERLOAD_FACTOR * 0.85) as usize;
+    let mut server = ServerModel::new(DEFAULT_SETUP);
+    for round in 1..=8 {
+        for _ in 0..CORES {
+            server.arrive(2, Time(0), CLIENT_TIMEOUT, None);
+        }
+        server.advance(CLIENT_TIMEOUT.scaled(1.5));
+        let running = server.in_state(State::Running);
+        assert_eq!(running.len(), ceiling.min(round * CORES), "round {round}");
+        for id in running {
+            server.run_overdue(id);
+        }
+    }
+    // Each end makes room for one.
+    let first = server.in_state(State::Running)[0];
+    server.end_run(first, RunOutcome::Completed);
+    server.arrive(2, Time(0), CLIENT_TIMEOUT, None);
+    assert_eq!(server.count(State::Running), ceiling);
+}
--- a/crates/admission/tests/decide/server_model.rs
+++ b/crates/admission/tests/decide/server_model.rs
@@ -272,6 +272,12 @@
         self.apply(actions);
     }
 
+    /// A run that was answered has shown no end for long.
+    pub(crate) fn run_overdue(&mut self, id: RequestId) {
+        let actions = self.controller.run_overdue(self.now, id);
+        self.apply(actions);
+    }
+
     pub(crate) fn want_call(&mut self, id: RequestId) {
         let request = self.requests.get_mut(&id).unwrap();
         request.state = State::AwaitingCall;
--- a/crates/server/src/dispatcher/arrivals.rs
+++ b/crates/server/src/dispatcher/arrivals.rs
@@ -164,6 +164,7 @@
             body: request.body.into(),
             is_answered: false,
             is_running: false,
+            is_overdue: false,
             coalesced_with: None,
         };
         self.requests.insert(id, in_flight);
@@ -235,6 +236,7 @@
             return;
         };
         request.is_running = false;
+        request.is_overdue = false;
         request.coalesced_with = None;
         let delay = now - request.arrived;
         let earlier = request.arrival;
--- a/crates/server/src/dispatcher/outcomes.rs
+++ b/crates/server/src/dispatcher/outcomes.rs
@@ -8,8 +8,8 @@
 use cottondyke_types::{RequestId, Time};
 use std::rc::Rc;
 
-/// Multiple of the longest client timeout after which a run that nobody waits for holds its place no more.
-const ABANDON_RUNS_AFTER: f64 = 4.0;
+/// Multiple of the longest client timeout after which a run that nobody waits for is overdue.
+const OVERDUE_AFTER: f64 = 4.0;
 
 impl RequestDispatcher {
     pub(super) fn handle_execution_events(
@@ -134,23 +134,44 @@
         Some(self.admission.run_ended(now, id, outcome))
     }
 
-    /// Fails runs of which nothing was heard since long after their clients gave up.
-    pub(super) fn abandon_lost_runs(&mut self, now: Time) {
-        let max_age = time_of_ms(self.config.max_client_timeout_ms).scaled(ABANDON_RUNS_AFTER);
-        let lost = self.requests.ids_where(|request| {
-            request.is_running && request.is_answered && now - request.arrived > max_age
+    /// Settles runs of which nothing was heard since long after their clients gave up. One whose command may have been
+    /// lost holds its place no longer. Any other is on the machine: guards that against runs put beside those that hang.
+    pub(super) fn settle_overdue_runs(&mut self, now: Time) {
+        let max_age = time_of_ms(self.config.max_client_timeout_ms).scaled(OVERDUE_AFTER);
+        let overdue = self.requests.ids_where(|request| {
+            request.is_running
+                && request.is_answered
+                && !request.is_overdue
+                && now - request.arrived > max_age
         });
-        for id in lost {
+        for id in overdue {
             let wire_id = self.requests.get(id).map(|request| request.wire_id);
-            tracing::warn!(id = ?wire_id, "abandoning a run that never ended");
-            // It may have run, so its entry in the dedup table stays.
-            let output = RunOutput::default();
-            if let Some(actions) = self.end_run(now, id, RunOutcome::NotStarted, output) {
-                self.perform_all(now, actions);
+            if self.executors.may_have_lost(id) {
+                tracing::warn!(id = ?wire_id, "abandoning a run that never ended");
+                self.abandon_run(now, id);
+            } else {
+                tracing::warn!(id = ?wire_id, "a run is overdue; it stays among what the machine survives");
+                self.mark_overdue(now, id);
             }
         }
     }
 
+    /// It may have run, so its entry in the dedup table stays.
+    fn abandon_run(&mut self, now: Time, id: RequestId) {
+        let output = RunOutput::default();
+        if let Some(actions) = self.end_run(now, id, RunOutcome::NotStarted, output) {
+            self.perform_all(now, actions);
+        }
+    }
+
+    fn mark_overdue(&mut self, now: Time, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.is_overdue = true;
+        }
+        let actions = self.admission.run_overdue(now, id);
+        self.perform_all(now, actions);
+    }
+
     /// Requests that wait for the response of `original` get it.
     pub(super) fn answer_coalesced(
         &mut self,
--- a/crates/server/src/dispatcher/requests.rs
+++ b/crates/server/src/dispatcher/requests.rs
@@ -22,6 +22,8 @@
     pub(super) body: Rc<[u8]>,
     pub(super) is_answered: bool,
     pub(super) is_running: bool,
+    /// Whether it runs on the machine long after it was answered, as the admission controller was told.
+    pub(super) is_overdue: bool,
     /// The request for whose response it waits.
     pub(super) coalesced_with: Option<RequestId>,
 }
--- a/crates/server/src/dispatcher/timers.rs
+++ b/crates/server/src/dispatcher/timers.rs
@@ -94,7 +94,7 @@
             self.next_log = now + LOG_INTERVAL;
             self.log_second(now);
         }
-        self.abandon_lost_runs(now);
+        self.settle_overdue_runs(now);
         self.dedup.expire(now);
         self.advance_shutdown(now, phase)
     }
--- a/crates/server/src/execution/engine.rs
+++ b/crates/server/src/execution/engine.rs
@@ -33,6 +33,12 @@
     is_wanted: bool,
     /// Whether the engine has shown that it runs.
     has_begun: bool,
+    /// When its command was given to the link, or to the queue while there was none.
+    commanded_at: Time,
+    /// Whether it was given to the queue.
+    was_queued: bool,
+    /// Whether its command may have been lost with a link.
+    may_be_lost: bool,
     /// The call that the run waits for.
     needed_call: Option<NeededCall>,
     /// When the run was told to go on from its call, and how, until the engine shows that it has.
@@ -42,6 +48,16 @@
 }
 
 impl EngineRun {
+    /// The link broke: a command written shortly before may not have been read.
+    fn link_lost(&mut self, now: Time, link_up_at: Time) {
+        let written_at = if self.was_queued {
+            self.commanded_at.max(link_up_at)
+        } else {
+            self.commanded_at
+        };
+        self.may_be_lost |= !self.has_begun && now - written_at <= POSSIBLY_LOST_WINDOW;
+    }
+
     fn start_command(&self) -> EngineCommand {
         EngineCommand::StartRun {
             id: self.wire_id,
@@ -78,6 +94,8 @@
     config: EngineExecutorConfig,
     /// The load query of the dispatcher that has not been answered.
     load_query: Option<Tag>,
+    /// When the link was last opened.
+    link_up_at: Time,
     /// When the link last broke.
     link_lost_at: Time,
     last_call: u64,
@@ -100,6 +118,7 @@
             by_wire_id: BTreeMap::new(),
             config,
             load_query: None,
+            link_up_at: now,
             link_lost_at: now,
             last_call: 0,
             tasks,
@@ -111,6 +130,7 @@
     /// Starts a run, of the handler that the engine knows as `class`.
     pub fn start(
         &mut self,
+        now: Time,
         id: RequestId,
         request: &ExecutionRequest,
         class: Rc<str>,
@@ -123,6 +143,9 @@
             is_idempotent,
             is_wanted: true,
             has_begun: false,
+            commanded_at: now,
+            was_queued: !self.commands.is_up(),
+            may_be_lost: false,
             needed_call: None,
             resumed: None,
             call: None,
@@ -163,12 +186,17 @@
 
     /// A link is open; it takes commands at `link`.
     pub fn link_up(&mut self, now: Time, link: Sender<EngineCommand>) {
+        self.link_up_at = now;
         self.commands.link_up(now, link);
     }
 
     /// The link broke with these commands unsent.
     pub fn link_down(&mut self, now: Time, unsent: Vec<EngineCommand>) {
         self.link_lost_at = now;
+        let link_up_at = self.link_up_at;
+        for run in self.runs.values_mut() {
+            run.link_lost(now, link_up_at);
+        }
         self.commands.link_down(unsent);
     }
 
@@ -215,6 +243,14 @@
         std::mem::take(&mut self.counters)
     }
 
+    /// Whether the engine may know nothing of this run, or holds it at a call, where it takes no core. Guards against taking
+    /// a run that hangs for one that was never begun: what was written to a link that stood on is there.
+    pub fn may_have_lost(&self, id: RequestId) -> bool {
+        self.runs
+            .get(&id)
+            .is_none_or(|run| run.may_be_lost || run.needed_call.is_some())
+    }
+
     fn find_run(&mut self, wire_id: WireId) -> Option<(RequestId, &mut EngineRun)> {
         let id = *self.by_wire_id.get(&wire_id)?;
         self.runs.get_mut(&id).map(|run| (id, run))
@@ -262,6 +298,7 @@
         self.commands.load_received(tag);
         if self.commands.pass_fence(tag) {
             let repeated = self.possibly_lost_commands();
+            self.mark_repeated();
             self.commands.resume(repeated);
             return Vec::new();
         }
@@ -300,6 +337,14 @@
             .collect()
     }
 
+    /// Runs whose commands are said again are not lost any more.
+    fn mark_repeated(&mut self) {
+        let repeated = self.runs.values_mut();
+        for run in repeated.filter(|run| run.is_wanted && run.is_idempotent) {
+            run.may_be_lost = false;
+        }
+    }
+
     fn possibly_lost_command(&self, run: &EngineRun) -> Option<EngineCommand> {
         match &run.resumed {
             Some((at, command)) if self.link_lost_at - *at <= POSSIBLY_LOST_WINDOW => {
--- a/crates/server/src/execution/mod.rs
+++ b/crates/server/src/execution/mod.rs
@@ -115,7 +115,7 @@
             return vec![ExecutionEvent::Ended(id, RunOutcome::Failed, output)];
         };
         let class = self.handlers.classes[handler].clone();
-        engine.start(id, request, class, is_idempotent);
+        engine.start(now, id, request, class, is_idempotent);
         Vec::new()
     }
 
@@ -137,6 +137,13 @@
         }
     }
 
+    /// Whether the engine may know nothing of a run that was started, or holds it where it takes no core.
+    pub fn may_have_lost(&self, id: RequestId) -> bool {
+        self.engine
+            .as_ref()
+            .is_none_or(|engine| engine.may_have_lost(id))
+    }
+
     /// The run has ended for the dispatcher.
     pub fn forget(&mut self, id: RequestId) {
         if let Some(engine) = &mut self.engine {
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -124,25 +124,58 @@
     );
 }
 
-/// Guards the pool against a run that is neither heard of nor ended: long after its client gave up it holds no place.
+/// Settings of one core under which a run is overdue after 0.8 s, and which survive `overload_factor` runs.
+fn one_core(conf: &mut serde_json::Value, overload_factor: f64) {
+    for class in conf["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadline_ms"] = 200.0.into();
+    }
+    conf["settings"]["family_info"]["n_cores"] = 1.into();
+    conf["settings"]["obligations"]["overload_factor"] = overload_factor.into();
+}
+
+/// Guards the pool against a run that was lost with the link: long after its client gave up it holds no place.
 #[test]
-fn abandons_a_run_that_never_ends() {
-    let rig = Rig::with(|conf| {
-        for class in conf["settings"]["classes"].as_array_mut().unwrap() {
-            class["deadline_ms"] = 200.0.into();
-        }
-        conf["settings"]["family_info"]["n_cores"] = 1.into();
-        conf["settings"]["obligations"]["overload_factor"] = 2.into();
-    });
+fn abandons_a_run_whose_command_may_have_been_lost() {
+    let rig = Rig::with(|conf| one_core(conf, 2.0));
     let (mut link, mut sidecar) = rig.ready();
     send_request(&mut sidecar, 1, PAY, &[], b"");
     expect_start(&mut link);
+    drop(link);
+    let mut link = rig.link(0);
     assert_eq!(sidecar.receive().unwrap().code, 9);
     rig.wait_for_log("abandoning a run that never ended");
     send_request(&mut sidecar, 2, PAY, &[], b"");
     assert_eq!(expect_start(&mut link), id(2), "its place is free");
 }
 
+/// Guards the machine against runs that hang: others run beside them, but with them no more than the machine survives,
+/// until their end is known.
+#[test]
+fn counts_overdue_runs_among_what_the_machine_survives() {
+    let rig = Rig::with(|conf| one_core(conf, 4.0));
+    let (mut link, mut sidecar) = rig.ready();
+    // With the margin that is kept, one core survives three runs.
+    for number in 1..=3 {
+        send_request(&mut sidecar, number, PAY, &[], b"");
+        assert_eq!(expect_start(&mut link), id(number.into()));
+        assert_eq!(sidecar.receive().unwrap().code, 9);
+        rig.wait_for_log("a run is overdue");
+    }
+    send_request(&mut sidecar, 4, PAY, &[], b"");
+    let answer = sidecar.receive().unwrap();
+    assert_eq!((answer.stream, answer.code), (4, 0), "it is not run");
+    // A link that breaks long after the commands proves nothing of the runs.
+    drop(link);
+    let mut link = rig.link(0);
+    send_request(&mut sidecar, 5, PAY, &[], b"");
+    let answer = sidecar.receive().unwrap();
+    assert_eq!((answer.stream, answer.code), (5, 0), "it is not run");
+    link.send_line_with_body(&format!("DONE 1 {} fine 1", id(1)), b"")
+        .unwrap();
+    send_request(&mut sidecar, 6, PAY, &[], b"");
+    assert_eq!(expect_start(&mut link), id(6), "a place is free");
+}
+
 /// Guards against a request whose run the engine refuses: it is answered, and the server goes on.
 #[test]
 fn settles_the_request_when_its_command_is_refused() {
