Stamps: a stepped wall clock makes no request older than it is

Where it is stepped forward by seconds, here and not where the stamps come from, or with requests on the way, every request seems past its deadline and is turned away, and windows and graces that count from its arrival end early. Now the age is the lesser of two: by the wall clock, and by the one the program would have if its own had not been stepped since its start (slewing is followed). Seen by unit tests with steps of seconds and an hour, both ways, here and at both; not yet by processes under a clock shim.

--- a/crates/server/src/dispatcher/arrivals.rs
+++ b/crates/server/src/dispatcher/arrivals.rs
@@ -1,7 +1,7 @@
 //! Requests that arrive, repeats among them, and callers that go.
 use super::requests::InFlightRequest;
 use super::RequestDispatcher;
-use crate::clock::{since_unix, time_of_ms};
+use crate::clock::time_of_ms;
 use crate::config::CallerSource;
 use crate::dedup::{DedupWindow, IdempotencyKey};
 use crate::event::ConnectionId;
@@ -50,7 +50,7 @@
             return;
         }
         let id = self.requests.allocate_id(|id| self.dedup.contains(id));
-        let delay = since_unix(request.arrived_unix_ms);
+        let delay = self.stamp_clock.since(request.arrived_unix_ms);
         let key = self.take_idempotency_key(&mut request);
         let Some(repetition) = self.find_repetition(now, connection, now - delay, key, &request)
         else {
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -11,7 +11,7 @@
 mod shutdown;
 mod timers;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, StampClock};
 use crate::cluster::ClusterDriver;
 use crate::config::Config;
 use crate::connection::table::ConnectionTable;
@@ -67,6 +67,8 @@
 pub struct RequestDispatcher {
     config: Rc<Config>,
     clock: Clock,
+    /// By which requests were stamped.
+    stamp_clock: StampClock,
     started_at: Time,
     admission: AdmissionController,
     requests: RequestTable,
@@ -107,6 +109,7 @@
         RequestDispatcher {
             config: parts.config,
             clock: parts.clock,
+            stamp_clock: StampClock::start(),
             started_at: now,
             admission: parts.admission,
             requests: RequestTable::default(),
