Stalls: descriptors have room from the start, and log lines are written by a thread of their own

Linux enlarges the table of a process with several threads only after a grace period of the whole machine. Found on the way: a log that nobody reads stopped the server at its next line; lines are now written by tracing-appender's thread, lossy past 1,024, and dropped ones are told.

--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -96,6 +96,8 @@
     execution_events: VecDeque<ExecutionEvent>,
     next_maintenance: Time,
     next_log: Time,
+    /// Log lines that were dropped when this was last looked at.
+    dropped_lines: usize,
     /// When the shutdown signal came.
     shutdown_at: Option<Time>,
 }
@@ -131,6 +133,7 @@
             execution_events: VecDeque::new(),
             next_maintenance: now,
             next_log: now,
+            dropped_lines: 0,
             shutdown_at: None,
         }
     }
--- a/crates/server/src/dispatcher/timers.rs
+++ b/crates/server/src/dispatcher/timers.rs
@@ -2,6 +2,7 @@
 use super::counters::log_status;
 use super::RequestDispatcher;
 use crate::execution::engine::EngineExecutor;
+use crate::log_output::dropped_lines;
 use crate::shutdown::ShutdownPhase;
 use cottondyke_admission::LoadSample;
 use cottondyke_types::{Time, SECOND};
@@ -109,6 +110,16 @@
             log_status(status);
         }
         counters.log(engine);
+        self.log_dropped_lines();
+    }
+
+    fn log_dropped_lines(&mut self) {
+        let dropped = dropped_lines();
+        if dropped > self.dropped_lines {
+            let lines = dropped - self.dropped_lines;
+            tracing::warn!(lines, "log lines were dropped: standard error is not taken");
+        }
+        self.dropped_lines = dropped;
     }
 
     /// Guards newcomers that wait to be accepted while every place is taken: those told to go are not left until the
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Modules by floor, from the ground; none imports one that stands after it:
 //!
-//! - [`clock`], [`backoff`], [`protocol`] (bytes to messages and back), [`config`] and [`event`] (what reaches the dispatcher);
+//! - [`clock`], [`backoff`], [`log_output`], [`descriptor_table`], [`protocol`] (bytes to messages and back), [`config`] and [`event`] (what reaches the dispatcher);
 //! - [`resource_limits`], [`cpu_usage`], [`shutdown`], [`health_check`], [`dedup`], [`signal`];
 //! - [`connection`], [`listener`], [`outbound`], [`load_report`], [`cluster`], [`execution`];
 //! - [`dispatcher`], the sole owner of the admission controller, the in-flight requests and the timers;
@@ -17,12 +17,14 @@
 pub mod connection;
 pub mod cpu_usage;
 pub mod dedup;
+pub mod descriptor_table;
 pub mod dispatcher;
 pub mod event;
 pub mod execution;
 pub mod health_check;
 pub mod listener;
 pub mod load_report;
+pub mod log_output;
 pub mod outbound;
 pub mod protocol;
 pub mod resource_limits;
--- /dev/null
+++ b/crates/server/src/log_output.rs
@@ -0,0 +1,32 @@
+//! Where log lines go: standard error, written by a thread of its own. Guards serving against a reader that has stopped or
+//! a disk that stalls: the thread that serves never waits for either, and lines that find no room are dropped and counted.
+use std::io;
+use std::sync::OnceLock;
+use tracing::level_filters::LevelFilter;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+
+/// Lines that may wait to be written.
+const MAX_PENDING_LINES: usize = 1_024;
+
+static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Logs from now on, at this level. What waits is written when the guard is dropped, unless standard error stalls.
+pub fn start(level: LevelFilter) -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_PENDING_LINES)
+        .thread_name("cottondyke-log")
+        .finish(io::stderr());
+    let _ = DROPPED_LINES.set(writer.error_counter());
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_ansi(false)
+        .with_writer(writer)
+        .init();
+    guard
+}
+
+/// How many lines found no room since the start.
+pub fn dropped_lines() -> usize {
+    DROPPED_LINES.get().map_or(0, ErrorCounter::dropped_lines)
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -3,6 +3,8 @@
 use cottondyke::cluster::status;
 use cottondyke::config::files::ConfigFiles;
 use cottondyke::config::Config;
+use cottondyke::descriptor_table;
+use cottondyke::log_output;
 use cottondyke::signal;
 use lexopt::prelude::*;
 use std::fmt::Display;
@@ -131,6 +133,8 @@
 }
 
 fn serve(arguments: Arguments) -> ExitCode {
+    // Before any other thread runs, which the signals below start.
+    let reserved = descriptor_table::reserve();
     // First of all: until signals are caught, each has its default action, and a SIGHUP that comes while the files are
     // read would end the program.
     let signals = match signal::catch() {
@@ -143,11 +147,10 @@
         Ok(config) => config,
         Err(error) => return fail(error, BAD_USAGE),
     };
-    tracing_subscriber::fmt()
-        .with_max_level(log_level)
-        .with_ansi(false)
-        .with_writer(std::io::stderr)
-        .init();
+    let _log = log_output::start(log_level);
+    if let Err(error) = reserved {
+        tracing::warn!(%error, "cannot reserve room for descriptors; accepting may stall while it is made");
+    }
     match app::serve(signals, files, config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(error, CANNOT_SERVE),
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod fleet;
 mod idempotency;
+mod logging;
 mod overload;
 mod records_calls;
 mod reload;
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -130,6 +130,13 @@
             .count()
     }
 
+    /// For how many descriptors the kernel has room without enlarging the program's table.
+    pub(crate) fn descriptor_slots(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let size = status.lines().find_map(|line| line.strip_prefix("FDSize:"));
+        size.unwrap().trim().parse().unwrap()
+    }
+
     /// How the program ended, and how long that took.
     pub(crate) fn wait_for_exit(&mut self) -> (ExitStatus, Duration) {
         let start = Instant::now();
--- a/crates/server/tests/serve/startup.rs
+++ b/crates/server/tests/serve/startup.rs
@@ -117,3 +117,13 @@
         "{code:?} {text}"
     );
 }
+
+/// Guards every connection against one that is accepted: where the table of descriptors was enlarged for it, the whole
+/// process stood still in the kernel, for seconds on a busy machine.
+#[test]
+fn has_room_for_all_its_descriptors_before_it_serves() {
+    let rig = Rig::start();
+    let limit = rig.conf["limits"]["sockets"].as_u64().unwrap() as usize;
+    let slots = rig.descriptor_slots();
+    assert!(slots >= limit, "{slots} of {limit}");
+}
