--- a/crates/server/src/execution/engine.rs
+++ b/crates/server/src/execution/engine.rs
@@ -3,70 +3,19 @@
 use super::{ExecutionEvent, ExecutionRequest};
 use crate::event::{CallError, CallNumber, Event};
 use crate::execution::command_queue::EngineCommandQueue;
+use crate::execution::engine_run::{EngineRun, NeededCall};
 use crate::outbound::records_call::{self, RecordsCall};
-use crate::protocol::engine::{EngineCommand, EngineMessage, MessageNumber, Tag};
+use crate::protocol::engine::{EngineCommand, EngineMessage, Tag};
 use crate::protocol::sidecar::RunOutput;
 use crate::protocol::WireId;
 use async_channel::Sender;
-use async_executor::{LocalExecutor, Task};
+use async_executor::LocalExecutor;
 use cottondyke_admission::{CallOutcome, RunOutcome};
-use cottondyke_types::{RequestId, Time, SECOND};
+use cottondyke_types::{RequestId, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// What was written to the engine this long before its link broke may not have been read.
-const POSSIBLY_LOST_WINDOW: Time = SECOND;
-
-/// A call that a run waits for.
-struct NeededCall {
-    message: MessageNumber,
-    body: Vec<u8>,
-}
-
-struct EngineRun {
-    wire_id: WireId,
-    class: Rc<str>,
-    body: Rc<[u8]>,
-    is_idempotent: bool,
-    /// Whether anybody still waits for it.
-    is_wanted: bool,
-    /// Whether the engine has shown that it runs.
-    has_begun: bool,
-    /// When its command was given to the link, or to the queue while there was none.
-    commanded_at: Time,
-    /// Whether it was given to the queue.
-    was_queued: bool,
-    /// Whether its command may have been lost with a link.
-    may_be_lost: bool,
-    /// The call that the run waits for.
-    needed_call: Option<NeededCall>,
-    /// When the run was told to go on from its call, and how, until the engine shows that it has.
-    resumed: Option<(Time, EngineCommand)>,
-    /// The call in flight; dropping its task cancels it.
-    call: Option<(CallNumber, Task<()>)>,
-}
-
-impl EngineRun {
-    /// The link broke: a command written shortly before may not have been read.
-    fn link_lost(&mut self, now: Time, link_up_at: Time) {
-        let written_at = if self.was_queued {
-            self.commanded_at.max(link_up_at)
-        } else {
-            self.commanded_at
-        };
-        self.may_be_lost |= !self.has_begun && now - written_at <= POSSIBLY_LOST_WINDOW;
-    }
-
-    fn start_command(&self) -> EngineCommand {
-        EngineCommand::StartRun {
-            id: self.wire_id,
-            class: self.class.clone(),
-            body: self.body.clone(),
-        }
-    }
-}
-
 /// Calls since the last reading that brought nothing, and commands that were refused.
 #[derive(Default)]
 pub struct EngineCounters {
@@ -136,20 +85,8 @@
         class: Rc<str>,
         is_idempotent: bool,
     ) {
-        let run = EngineRun {
-            wire_id: request.wire_id,
-            class,
-            body: request.body.clone(),
-            is_idempotent,
-            is_wanted: true,
-            has_begun: false,
-            commanded_at: now,
-            was_queued: !self.commands.is_up(),
-            may_be_lost: false,
-            needed_call: None,
-            resumed: None,
-            call: None,
-        };
+        let mut run = EngineRun::new(now, request, class, is_idempotent);
+        run.was_queued = !self.commands.is_up();
         self.commands.send(run.start_command());
         self.by_wire_id.insert(run.wire_id, id);
         self.runs.insert(id, run);
@@ -332,7 +269,7 @@
         self.runs
             .values()
             .filter(|run| run.is_wanted)
-            .filter_map(|run| self.possibly_lost_command(run))
+            .filter_map(|run| run.possibly_lost_command(self.link_lost_at))
             .filter(|command| !self.commands.is_queued(command))
             .collect()
     }
@@ -345,15 +282,6 @@
         }
     }
 
-    fn possibly_lost_command(&self, run: &EngineRun) -> Option<EngineCommand> {
-        match &run.resumed {
-            Some((at, command)) if self.link_lost_at - *at <= POSSIBLY_LOST_WINDOW => {
-                Some(command.clone())
-            }
-            _ => (!run.has_begun && run.is_idempotent).then(|| run.start_command()),
-        }
-    }
-
     /// Makes the call that the run waits for, in at most `timeout`.
     pub fn start_call(&mut self, id: RequestId, timeout: Time) {
         let Some(run) = self.runs.get_mut(&id) else {
--- a/crates/server/src/execution/mod.rs
+++ b/crates/server/src/execution/mod.rs
@@ -5,6 +5,7 @@
 pub mod command_queue;
 pub mod engine;
 pub mod engine_link;
+mod engine_run;
 pub mod response_body;
 
 use crate::protocol::engine::Tag;
