--- a/crates/admission/src/policy/effects.rs
+++ b/crates/admission/src/policy/effects.rs
@@ -85,13 +85,13 @@
         let repeats = may_repeat && request.attempts < MAX_ATTEMPTS;
         let may_skip = handler.skip_value > 0.0 && !request.answered;
         let others_in_flight = self.requests.calling().count() - 1;
-        // One that failed has left its place to the next; one whose connection broke may hold it still.
-        let has_place = outcome == CallOutcome::Failed
+        // One that failed has left its slot to the next; one whose connection broke may hold it still.
+        let has_slot = outcome == CallOutcome::Failed
             || outcome == CallOutcome::Interrupted && self.calls.may_call(now, others_in_flight);
         let Some(request) = self.requests.get_mut(id) else { return };
         match outcome {
             CallOutcome::Completed => request.resume(self.costs.core_clock),
-            _ if repeats && has_place => self.call(now, id, actions),
+            _ if repeats && has_slot => self.call(now, id, actions),
             _ if repeats => request.phase = Phase::AwaitingCall,
             _ if may_skip => self.skip_call(now, id, actions),
             _ => self.terminate(now, id, actions),
--- a/crates/admission/src/policy/mod.rs
+++ b/crates/admission/src/policy/mod.rs
@@ -11,4 +11,5 @@
 pub(crate) mod priority_weights;
 pub(crate) mod rules;
 pub(crate) mod slow_start;
+pub(crate) mod slow_start_rules;
 pub(crate) mod termination_threshold;
--- a/crates/settings/src/admission.rs
+++ b/crates/settings/src/admission.rs
@@ -36,12 +36,10 @@
     let quotas = quotas(settings)?;
     let goal = goal_weights(settings, blend)?;
     let fleet_size = maybe_number(settings, "group_size")?.unwrap_or(1.0);
-    let cores = unsigned(info, "n_cores")? as usize;
-    let start_capacity = start_capacity(info, rules)?;
+    let concurrency = concurrency(info, rules)?;
     let cancellation = cancellation(info)?;
     let advice_format = advice_format(info)?;
     let max_retry_after = max_retry_after(limits)?;
-    let overload_factor = number(rules, "overload_factor")?;
     let response_targets = handlers.iter().map(|h| h.response_target);
     let loss_window = response_targets.min().unwrap_or(Time(1));
     let share = call_share(info)?;
@@ -52,13 +50,6 @@
         max_idle: duration(info, "idle_ms")?,
         max_retry_after,
     };
-    let concurrency = ConcurrencyConfig {
-        cores,
-        overload_factor,
-        start_capacity,
-        warm_within: duration(rules, "warm_within_ms")?,
-        overload_window: duration(rules, "fall_ms")?,
-    };
     Ok(AdmissionConfig {
         memory: memory_limits(info)?,
         resolution: duration(settings, "resolution_ms")?.max(Time(1)),
@@ -80,6 +71,16 @@
     })
 }
 
+fn concurrency(info: &Value, rules: &Value) -> Result<ConcurrencyConfig, SettingsError> {
+    Ok(ConcurrencyConfig {
+        cores: unsigned(info, "n_cores")? as usize,
+        start_capacity: start_capacity(info, rules)?,
+        overload_factor: number(rules, "overload_factor")?,
+        warm_within: duration(rules, "warm_within_ms")?,
+        overload_window: duration(rules, "fall_ms")?,
+    })
+}
+
 /// Whether each handler may run twice.
 ///
 /// # Errors
