--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -46,8 +46,9 @@
         }
     }
 
-    pub(crate) fn add_begun(&mut self, at: Time, work: f64) {
-        if self.window > Time(0) {
+    /// Nothing is kept where there is no bound: a warm server begins any number.
+    pub(crate) fn add_begun(&mut self, at: Time, work: f64, concurrency: &ConcurrencyLimit) {
+        if self.allowed(at, concurrency).is_some() {
             self.begun.push_back(BegunWork { at, work });
             self.total += work;
         }
--- a/crates/server/src/config/validate.rs
+++ b/crates/server/src/config/validate.rs
@@ -56,6 +56,10 @@
     check_number(info, "n_cores", CORES)?;
     check_number(info, "mem_limit_kb", MEMORY_KB)?;
     check_number(rules, "overload_factor", OVERLOAD_FACTOR)?;
+    // Missing, there is no budget of slow start; a wrong one must not pass for that.
+    if settings::present(rules, "fall_ms").is_some() {
+        check_number(rules, "fall_ms", DURATION_MS)?;
+    }
     // What lies below decides whether a records service is needed: no word of it may pass for another.
     let below = settings::text(info, "below").map_err(ConfigError::Value)?;
     if !BELOW.contains(&below) {
--- a/crates/server/src/descriptor_table.rs
+++ b/crates/server/src/descriptor_table.rs
@@ -6,7 +6,8 @@
 use rustix::process::{getrlimit, Resource};
 use std::io;
 
-/// Descriptors for which there is room at once, where the system allows so many.
+/// Descriptors for which there is room at once, where the system allows so many. A server that holds more waits at the
+/// next doubling.
 const RESERVED_DESCRIPTORS: u64 = 4_096;
 
 /// Makes room. To be called before any other thread runs: then nothing is waited for.
--- a/crates/server/src/dispatcher/counters.rs
+++ b/crates/server/src/dispatcher/counters.rs
@@ -86,31 +86,18 @@
 
 /// The state of the admission controller, while it is in slow start or something was answered without a result.
 pub(super) fn log_status(status: AdmissionStatus) {
-    let AdmissionStatus {
-        capacity,
-        concurrency_limit,
-        ceiling,
-        utilization,
-        queued,
-        on_core,
-        overdue,
-        awaiting_call,
-        calling,
-        abandoned_calls,
-        memory_used,
-    } = status;
     tracing::info!(
-        capacity,
-        concurrency_limit,
-        ceiling,
-        utilization,
-        queued,
-        on_core,
-        overdue,
-        awaiting_call,
-        calling,
-        abandoned_calls,
-        memory_used,
+        capacity = status.capacity,
+        concurrency_limit = status.concurrency_limit,
+        ceiling = status.ceiling,
+        utilization = status.utilization,
+        queued = status.queued,
+        on_core = status.on_core,
+        overdue = status.overdue,
+        awaiting_call = status.awaiting_call,
+        calling = status.calling,
+        abandoned_calls = status.abandoned_calls,
+        memory_used = status.memory_used,
         "admission status"
     );
 }
--- a/crates/server/tests/serve/fleet.rs
+++ b/crates/server/tests/serve/fleet.rs
@@ -25,6 +25,17 @@
 const REJECTED: u8 = 0;
 const COMPLETED: u8 = 1;
 
+/// A machine that starts at its full speed, and says so.
+pub(crate) const STEADY_MACHINE: MachineConfig = MachineConfig {
+    cores: 2.0,
+    cold_speed: 1.0,
+    warm_after: Duration::from_secs(1),
+    told_cold_speed: 1.0,
+    told_warm_within: Duration::from_secs(1),
+    overload_factor: 3.0,
+    makes_calls: false,
+};
+
 /// What the servers of a fleet are like, and what they are sent.
 #[derive(Clone, Copy)]
 pub(crate) struct FleetConfig {
--- a/crates/server/tests/serve/overload.rs
+++ b/crates/server/tests/serve/overload.rs
@@ -13,22 +13,12 @@
 /// How long an abandoned call goes on, as the settings tell.
 const LINGER: Duration = Duration::from_millis(200);
 
-const MACHINE: MachineConfig = MachineConfig {
-    cores: 2.0,
-    cold_speed: 1.0,
-    warm_after: Duration::from_secs(1),
-    told_cold_speed: 1.0,
-    told_warm_within: Duration::from_secs(1),
-    overload_factor: 3.0,
-    makes_calls: false,
-};
-
 /// Guards the machine while runs that may not be stopped hang: long after their clients gave up they are on it still.
 #[test]
 fn puts_no_more_on_a_hung_machine_than_it_survives() {
     let mut fleet = Fleet::start(FleetConfig {
         servers: 1,
-        machine: MACHINE,
+        machine: STEADY_MACHINE,
         mean_work: Duration::from_millis(20),
         rate: 60.0,
         effect: "once",
@@ -86,7 +76,7 @@
         servers,
         machine: MachineConfig {
             makes_calls: true,
-            ..MACHINE
+            ..STEADY_MACHINE
         },
         mean_work: Duration::from_millis(20),
         rate: 60.0,
--- a/crates/server/tests/serve/slow_start.rs
+++ b/crates/server/tests/serve/slow_start.rs
@@ -18,7 +18,7 @@
     told_cold_speed: 0.26,
     told_warm_within: Duration::from_secs(18),
     overload_factor: 8.0,
-    makes_calls: false,
+    ..STEADY_MACHINE
 };
 
 /// What a server in slow start may begin over the window: `expected` requests of mean work, and a margin for chance.
--- a/crates/server/tests/serve/startup.rs
+++ b/crates/server/tests/serve/startup.rs
@@ -9,7 +9,10 @@
 #[test]
 #[expect(clippy::too_many_lines, reason = "one table of cases")]
 fn prints_one_line_when_the_configuration_is_invalid() {
-    let cases: [(&str, Spoil); 15] = [
+    let cases: [(&str, Spoil); 16] = [
+        ("fall_ms", |c| {
+            c["settings"]["obligations"]["fall_ms"] = json!(-3_000.0)
+        }),
         // The first shape's count of callers beside callers heard on connections: the two are mixed.
         ("family_info.upstreams", |c| {
             c["front"] = json!({ "callers": "connections" })
