--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -39,7 +39,10 @@
     let record = Record::create(folder)?;
     let temporary = TemporaryFolder::create()?;
     let world = World::default();
-    let manner = Manner { cores: 6.0, piece_pause_ms: PIECE_PAUSE_MS };
+    let manner = Manner {
+        cores: 6.0,
+        piece_pause_ms: PIECE_PAUSE_MS,
+    };
     let (engine, engine_addr) = Engine::start(world.clone(), record.clone(), manner);
     engine.come_up();
     let records = start_records(world.clone(), record.clone(), CALL_MS);
@@ -109,7 +112,10 @@
         if !connections[index].is_usable() {
             continue;
         }
-        let (id, key) = (format!("{:016x}", number), format!("{:016x}", number + (1 << 40)));
+        let (id, key) = (
+            format!("{:016x}", number),
+            format!("{:016x}", number + (1 << 40)),
+        );
         let is_order = random.between(0, 2) == 1;
         let durations: Vec<String> = (0..3).map(|_| random.between(20, 50).to_string()).collect();
         let request = NewRequest {
@@ -127,31 +133,50 @@
 /// The rule: every reply reaches the engine as the reply to the call that the run waits for.
 fn judge(world: &World, record: &Record) -> i32 {
     let requests = world.requests();
-    let served = requests.values().filter(|r| r.answers.iter().any(|a| a.0 == 1));
-    let count = |code: u8| requests.values().filter(|r| r.answers.iter().any(|a| a.0 == code)).count();
+    let served = requests
+        .values()
+        .filter(|r| r.answers.iter().any(|a| a.0 == 1));
+    let count = |code: u8| {
+        requests
+            .values()
+            .filter(|r| r.answers.iter().any(|a| a.0 == code))
+            .count()
+    };
     let mut wrong = 0;
     let mut wrong_served = 0;
     for (id, request) in requests.iter() {
         for (expected, given) in &request.wrong_replies {
             wrong += 1;
-            record.line(format!("judge: {id}: the engine was to be fed {expected:?}, was fed {given:?}"));
+            record.line(format!(
+                "judge: {id}: the engine was to be fed {expected:?}, was fed {given:?}"
+            ));
         }
     }
     for request in served {
         let body = &request.answers[0].1;
         if !request.wrong_replies.is_empty() {
             wrong_served += 1;
-            record.line(format!("judge: class {} served with {body:?}", request.class));
+            record.line(format!(
+                "judge: class {} served with {body:?}",
+                request.class
+            ));
         }
     }
     let unanswered = requests.values().filter(|r| r.answers.is_empty()).count();
     let twice = requests.values().filter(|r| r.answers.len() > 1).count();
-    let reruns = requests.values().filter(|r| r.runs.len() > 1 && r.key.is_some()).count();
+    let reruns = requests
+        .values()
+        .filter(|r| r.runs.len() > 1 && r.key.is_some())
+        .count();
     record.say(format!(
         "requests {}, served {}, refused {}, failed {}, unanswered {unanswered}, answered twice {twice}, \
          keyed run twice {reruns}, replies fed to another call {wrong}, served with such a reply {wrong_served}",
         requests.len(), count(1), count(0), count(9)
     ));
     let is_broken = wrong_served * 1_000 > TOLERATED_IN_1000 * requests.len();
-    if is_broken { RULE_BROKEN } else { RULE_HELD }
+    if is_broken {
+        RULE_BROKEN
+    } else {
+        RULE_HELD
+    }
 }
--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -28,8 +28,14 @@
 
 /// In the first round the engine comes up well before the end of the grace, in the second shortly before it.
 const ROUNDS: [Round; 2] = [
-    Round { engine_late_ms: 1_000, run_ms: "60" },
-    Round { engine_late_ms: 2_400, run_ms: "900" },
+    Round {
+        engine_late_ms: 1_000,
+        run_ms: "60",
+    },
+    Round {
+        engine_late_ms: 2_400,
+        run_ms: "900",
+    },
 ];
 
 fn main() {
@@ -58,7 +64,10 @@
     record.line(format!("round: engine late by {} ms", round.engine_late_ms));
     let temporary = TemporaryFolder::create()?;
     let world = World::default();
-    let manner = Manner { cores: 6.0, piece_pause_ms: 0 };
+    let manner = Manner {
+        cores: 6.0,
+        piece_pause_ms: 0,
+    };
     let (engine, engine_addr) = Engine::start(world.clone(), record.clone(), manner);
     let records = start_records(world.clone(), record.clone(), 15);
     let (control, control_addr) = ControlPlane::start(record.clone());
@@ -123,7 +132,9 @@
 ) -> io::Result<Vec<(String, Instant)>> {
     let mut sent = Vec::new();
     let Ok(mut connection) = Connection::open(addr, 1, world, record) else {
-        return Err(io::Error::other("the server refused the sidecar's first connection"));
+        return Err(io::Error::other(
+            "the server refused the sidecar's first connection",
+        ));
     };
     while notice.elapsed() < Duration::from_millis(STOP_MS) {
         if connection.is_closed() || !connection.is_usable() {
@@ -158,7 +169,9 @@
     let requests = world.requests();
     let (mut late, mut late_run, mut latest, mut unanswered) = (0, 0, 0, 0);
     for (id, began) in sent {
-        let Some(request) = requests.get(id) else { continue };
+        let Some(request) = requests.get(id) else {
+            continue;
+        };
         let after_ms = (*began - notice).as_millis() as u64;
         let has_run = !request.runs.is_empty();
         let code = request.answers.first().map(|answer| answer.0);
@@ -166,7 +179,9 @@
         // failed, and is not lost.
         if has_run && code.is_none() {
             unanswered += 1;
-            record.line(format!("judge: {id}, sent {after_ms} ms after the notice, was run and never answered"));
+            record.line(format!(
+                "judge: {id}, sent {after_ms} ms after the notice, was run and never answered"
+            ));
         }
         if after_ms <= GRACE_MS + SLACK_MS {
             continue;
@@ -175,7 +190,9 @@
         if has_run {
             late_run += 1;
             latest = latest.max(after_ms);
-            record.line(format!("judge: {id}, sent {after_ms} ms after the notice, was run; answer {code:?}"));
+            record.line(format!(
+                "judge: {id}, sent {after_ms} ms after the notice, was run; answer {code:?}"
+            ));
         }
     }
     record.say(format!(
@@ -189,5 +206,9 @@
     }
     // Of a thousand requests, three may go without an answer.
     let is_lost = unanswered * 1_000 > 3 * sent.len();
-    if late_run > 0 || is_lost { RULE_BROKEN } else { RULE_HELD }
+    if late_run > 0 || is_lost {
+        RULE_BROKEN
+    } else {
+        RULE_HELD
+    }
 }
--- a/review/stand_ins/config.rs
+++ b/review/stand_ins/config.rs
@@ -30,7 +30,11 @@
     /// The configuration file's text.
     pub fn text(&self) -> String {
         let classes: Vec<String> = self.classes.iter().map(class).collect();
-        let calls: Vec<String> = self.classes.iter().map(|c| c.makes_calls.to_string()).collect();
+        let calls: Vec<String> = self
+            .classes
+            .iter()
+            .map(|c| c.makes_calls.to_string())
+            .collect();
         let skips: Vec<&str> = self.classes.iter().map(|_| "0.0").collect();
         format!(
             r#"{{
--- a/review/stand_ins/engine.rs
+++ b/review/stand_ins/engine.rs
@@ -118,7 +118,8 @@
     pub fn break_link(&self) {
         let mut state = lock(&self.state);
         if let Some(link) = state.link.take() {
-            self.record.line(format!("engine: link {} breaks", link.number));
+            self.record
+                .line(format!("engine: link {} breaks", link.number));
             let _ = link.stream.shutdown(Shutdown::Both);
         }
     }
@@ -137,7 +138,11 @@
             let (words, body) = match command {
                 Ok(command) => command,
                 Err(error) => {
-                    if state.link.as_ref().is_some_and(|link| link.number == number) {
+                    if state
+                        .link
+                        .as_ref()
+                        .is_some_and(|link| link.number == number)
+                    {
                         state.link = None;
                     }
                     return Err(error);
@@ -145,7 +150,8 @@
             };
             if words[0] != "STAT" {
                 let body = String::from_utf8_lossy(&body);
-                self.record.line(format!("engine: link {number} read {words:?} {body:?}"));
+                self.record
+                    .line(format!("engine: link {number} read {words:?} {body:?}"));
             }
             let reply = self.execute(&mut state, &words, body);
             if let (Some(reply), Some(link)) = (reply, &state.link) {
@@ -164,8 +170,14 @@
         if let Ok(writer) = writer {
             std::thread::spawn(move || write_pieces(writer, &pieces, manner));
         }
-        self.record.line(format!("engine: link {number} attached after notice {last_read}"));
-        state.link = Some(Link { number, stream, out });
+        self.record.line(format!(
+            "engine: link {number} attached after notice {last_read}"
+        ));
+        state.link = Some(Link {
+            number,
+            stream,
+            out,
+        });
         if state.is_up {
             self.hello(&mut state, number, last_read);
         } else {
@@ -180,7 +192,9 @@
             return;
         };
         self.record.line(format!("engine: HELLO on link {number}"));
-        let _ = link.out.send(format!("HELLO running {age}\r\n").into_bytes());
+        let _ = link
+            .out
+            .send(format!("HELLO running {age}\r\n").into_bytes());
         for notice in &state.notices[last_read.min(state.notices.len())..] {
             let _ = link.out.send(notice.clone());
         }
@@ -210,7 +224,8 @@
                         waiting.body
                     ));
                     let pair = (expected, reply.clone());
-                    self.world.update(&id, |request| request.wrong_replies.push(pair));
+                    self.world
+                        .update(&id, |request| request.wrong_replies.push(pair));
                 }
                 self.resume(state, &id, reply);
                 None
@@ -226,7 +241,11 @@
                 None
             }
             "STAT" => {
-                let on_core = state.runs.values().filter(|run| run.waiting.is_none()).count();
+                let on_core = state
+                    .runs
+                    .values()
+                    .filter(|run| run.waiting.is_none())
+                    .count();
                 // The pages do not say what the gauges show while runs hang: half of the cores.
                 let busy = match state.hangs {
                     true => 0.5,
@@ -239,13 +258,7 @@
         }
     }
 
-    fn start_run(
-        &self,
-        state: &mut State,
-        id: &str,
-        class: &str,
-        body: Vec<u8>,
-    ) -> Option<String> {
+    fn start_run(&self, state: &mut State, id: &str, class: &str, body: Vec<u8>) -> Option<String> {
         let body = String::from_utf8_lossy(&body).into_owned();
         let known = self.world.requests().get(id).cloned();
         if !known.is_some_and(|request| request.class == class && request.body == body) {
@@ -309,9 +322,12 @@
             let ms = run.started.elapsed().as_millis();
             let result = format!("result of {id}: {}", run.replies.join("; "));
             state.runs.remove(id);
-            self.world.update(id, |request| request.results.push(result.clone()));
+            self.world
+                .update(id, |request| request.results.push(result.clone()));
             let length = result.len();
-            self.notify(state, |n| format!("DONE {n} {id} fine {ms} {length}\r\n{result}\r\n"));
+            self.notify(state, |n| {
+                format!("DONE {n} {id} fine {ms} {length}\r\n{result}\r\n")
+            });
         } else if self.world.is_answered(id) {
             state.runs.remove(id);
             self.notify(state, |n| format!("DONE {n} {id} broken_off 1 0\r\n\r\n"));
--- a/review/stand_ins/server.rs
+++ b/review/stand_ins/server.rs
@@ -67,7 +67,10 @@
             .stdout(Stdio::null())
             .stderr(File::create(log)?)
             .spawn()?;
-        record.line(format!("server: started, pid {}, command {command:?}", child.id()));
+        record.line(format!(
+            "server: started, pid {}, command {command:?}",
+            child.id()
+        ));
         // `run.sh` ends the processes that are listed here if this program ends early.
         if let Ok(path) = std::env::var("REVIEW_PIDS") {
             let mut pids = File::options().create(true).append(true).open(path)?;
--- a/review/stand_ins/sidecar.rs
+++ b/review/stand_ins/sidecar.rs
@@ -132,7 +132,8 @@
         ));
         let now = Instant::now();
         if written.is_ok() {
-            self.world.update(new.id, |request| request.sent = Some(now));
+            self.world
+                .update(new.id, |request| request.sent = Some(now));
         }
         written
     }
