Engine link: the result of a call is never sent again on a later link

Cause: FEED names no call. After a broken link or a move of the engine, a FEED written up to 1 s before was sent once more, whether or not the run had received it. A run that had gone on took it as the reply to its next call. The fence shows that earlier notices are read; it cannot show that the run asks for nothing until the repeated FEED arrives. No window makes this safe.

Change: a completely written FEED is never repeated. Where the settings allow it, the call is skipped by SKIP, which names its call and does nothing to a run that went on; the policy decides (continue_without_result). Else the run is left to end, or its request is answered at its deadline.

The same cause nearby: a time window (1 s before the break) decided which commands may be lost. Now evidence does: a command was read if the engine answered a query sent after it on the same link. So a RUN known to be read is no longer repeated, and a run known to be read is never taken for unknown.

--- a/crates/admission/src/inputs.rs
+++ b/crates/admission/src/inputs.rs
@@ -90,6 +90,14 @@
         self.apply_rules(now, actions)
     }
 
+    /// The call of a run completed, but its result may have been lost on the way, so that the run may still wait for it.
+    pub fn call_result_possibly_lost(&mut self, now: Time, id: RequestId) -> Actions {
+        self.advance(now);
+        let mut actions = Actions::default();
+        self.continue_without_result(id, &mut actions);
+        self.apply_rules(now, actions)
+    }
+
     /// The caller no longer waits for the response to a request.
     pub fn request_abandoned(&mut self, now: Time, id: RequestId) -> Actions {
         self.advance(now);
--- a/crates/admission/src/policy/effects.rs
+++ b/crates/admission/src/policy/effects.rs
@@ -100,6 +100,16 @@
         }
     }
 
+    /// Skips the call of a run that may still wait for it although the call completed, if a response without the call
+    /// has value. Else the run is left to end or to be answered at its deadline: it may have received the result.
+    pub(crate) fn continue_without_result(&mut self, id: RequestId, actions: &mut Actions) {
+        let Some(request) = self.requests.get(id) else { return };
+        let may_skip = self.priorities.handler(request).skip_value > 0.0;
+        if may_skip && request.is_unanswered_in(Phase::OnCore) {
+            actions.skip_call.push(id);
+        }
+    }
+
     /// Retains the idempotency key of an original request for as long as its duplicates may arrive.
     pub(crate) fn retain_key(&mut self, now: Time, request: &RequestRecord, actions: &mut Actions) {
         let handler = self.priorities.handler(request);
--- a/crates/server/src/dispatcher/actions.rs
+++ b/crates/server/src/dispatcher/actions.rs
@@ -57,7 +57,7 @@
                 engine.start_call(id, timeout);
             }
             for id in actions.skip_call {
-                engine.skip_call(now, id);
+                engine.skip_call(id);
             }
         }
         if let Some(healthy) = actions.health {
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -110,7 +110,7 @@
     /// Creates a dispatcher that has handled no event.
     pub fn new(parts: DispatcherParts) -> Self {
         let now = parts.clock.now();
-        let executors = build_executors(&parts, now);
+        let executors = build_executors(&parts);
         let channels = parts.channels;
         RequestDispatcher {
             config: parts.config,
@@ -206,13 +206,12 @@
         let events = match event {
             Event::EngineDown(unsent) => {
                 if let Some(engine) = engine {
-                    engine.link_down(now, unsent);
+                    engine.link_down(unsent);
                 }
                 return;
             }
             Event::RecordsCallEnded(id, number, result) => {
-                let event =
-                    engine.and_then(|engine| engine.handle_call_ended(now, id, number, result));
+                let event = engine.and_then(|engine| engine.handle_call_ended(id, number, result));
                 self.handle_execution_events(now, event);
                 return;
             }
@@ -265,19 +264,14 @@
 }
 
 /// Creates the executors that the configuration requires.
-fn build_executors(parts: &DispatcherParts, now: Time) -> Executors {
+fn build_executors(parts: &DispatcherParts) -> Executors {
     let config = &parts.config;
     let engine = config.engine.map(|_| {
         let engine_config = EngineExecutorConfig {
             records: config.records,
             cpu_gauge: config.names.cpu_utilization_column,
         };
-        EngineExecutor::new(
-            now,
-            engine_config,
-            parts.tasks.clone(),
-            parts.events.clone(),
-        )
+        EngineExecutor::new(engine_config, parts.tasks.clone(), parts.events.clone())
     });
     let handlers = &config.names.handlers;
     let aggregation = config.operator.as_ref().map(|operator| {
--- a/crates/server/src/dispatcher/outcomes.rs
+++ b/crates/server/src/dispatcher/outcomes.rs
@@ -39,6 +39,9 @@
             ExecutionEvent::CallEnded(id, outcome) => {
                 Some(self.admission.call_ended(now, id, outcome))
             }
+            ExecutionEvent::CallResultPossiblyLost(id) => {
+                Some(self.admission.call_result_possibly_lost(now, id))
+            }
             ExecutionEvent::LoadSample(cpu_utilization) => {
                 self.load_query_until = None;
                 let sample = LoadSample {
--- a/crates/server/src/execution/engine.rs
+++ b/crates/server/src/execution/engine.rs
@@ -3,8 +3,8 @@
 //! them.
 use super::{ExecutionEvent, ExecutionRequest};
 use crate::event::{CallError, CallNumber, Event};
-use crate::execution::command_queue::EngineCommandQueue;
-use crate::execution::engine_run::{EngineRun, NeededCall};
+use crate::execution::command_queue::{Delivery, EngineCommandQueue};
+use crate::execution::engine_run::{EngineRun, LastCommand, NeededCall};
 use crate::outbound::records_call::{self, RecordsCall};
 use crate::protocol::engine::{EngineCommand, EngineMessage, Tag};
 use crate::protocol::sidecar::RunOutput;
@@ -44,10 +44,6 @@
     config: EngineExecutorConfig,
     /// The dispatcher's unanswered load query.
     load_query: Option<Tag>,
-    /// When the current or last link was opened.
-    link_up_at: Time,
-    /// When the link last broke.
-    link_lost_at: Time,
     last_call_number: u64,
     tasks: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
@@ -57,7 +53,6 @@
 impl EngineExecutor {
     /// Creates an executor that has no link to the engine yet.
     pub fn new(
-        now: Time,
         config: EngineExecutorConfig,
         tasks: Rc<LocalExecutor<'static>>,
         events: Sender<Event>,
@@ -68,8 +63,6 @@
             by_wire_id: BTreeMap::new(),
             config,
             load_query: None,
-            link_up_at: now,
-            link_lost_at: now,
             last_call_number: 0,
             tasks,
             events,
@@ -80,15 +73,13 @@
     /// Starts a run. `class` is the engine's name of the handler.
     pub fn start(
         &mut self,
-        now: Time,
         id: RequestId,
         request: &ExecutionRequest,
         class: Rc<str>,
         is_idempotent: bool,
     ) {
-        let mut run = EngineRun::new(now, request, class, is_idempotent);
-        run.was_queued = !self.commands.is_up();
-        self.commands.send(run.start_command());
+        let mut run = EngineRun::new(request, class, is_idempotent);
+        run.delivery = self.commands.send(run.start_command());
         self.by_wire_id.insert(run.wire_id, id);
         self.runs.insert(id, run);
     }
@@ -126,18 +117,20 @@
 
     /// A link was opened; `link` accepts commands for it.
     pub fn link_up(&mut self, now: Time, link: Sender<EngineCommand>) {
-        self.link_up_at = now;
         self.commands.link_up(now, link);
     }
 
     /// The link broke; the commands in `unsent` were not completely written.
-    pub fn link_down(&mut self, now: Time, unsent: Vec<EngineCommand>) {
-        self.link_lost_at = now;
-        let link_up_at = self.link_up_at;
+    pub fn link_down(&mut self, unsent: Vec<EngineCommand>) {
+        self.commands.link_down(unsent);
+        let queued = self.commands.queued_runs();
         for run in self.runs.values_mut() {
-            run.link_lost(now, link_up_at);
+            if queued.contains(&run.wire_id) {
+                run.delivery = Delivery::Queued;
+            } else {
+                run.link_lost(self.commands.last_answered());
+            }
         }
-        self.commands.link_down(unsent);
     }
 
     /// Whether the engine has ever sent `HELLO`.
@@ -174,7 +167,7 @@
     /// Sends the queued commands if the fence was not answered in time.
     pub fn maintain(&mut self, now: Time) {
         if self.commands.expire_fence(now) {
-            self.commands.resume(Vec::new());
+            self.send_queued_commands();
         }
     }
 
@@ -184,12 +177,12 @@
     }
 
     /// Whether the run can be given up: the engine may never have received it, or has suspended it at a call, where it
-    /// uses no core, or it is no run of this executor. False for a run that hangs: a command has arrived if its link
-    /// stayed open for long enough after it was written.
+    /// uses no core, or it is no run of this executor. False for a run that hangs: the engine has shown that it read its
+    /// start command.
     pub fn can_be_abandoned(&self, id: RequestId) -> bool {
         self.runs
             .get(&id)
-            .is_none_or(|run| run.may_be_lost || run.needed_call.is_some())
+            .is_none_or(|run| run.may_be_unknown() || run.needed_call.is_some())
     }
 
     fn find_run(&mut self, wire_id: WireId) -> Option<(RequestId, &mut EngineRun)> {
@@ -216,12 +209,10 @@
                 let Some((id, run)) = self.find_run(id) else {
                     return Vec::new();
                 };
-                run.needed_call = Some(NeededCall {
+                run.request_call(NeededCall {
                     message: number,
                     body,
                 });
-                run.resume_command = None;
-                run.has_begun = true;
                 vec![
                     ExecutionEvent::Progressed(id),
                     ExecutionEvent::CallRequested(id),
@@ -241,10 +232,7 @@
     fn handle_load(&mut self, tag: Tag, gauges: &[f64]) -> Vec<ExecutionEvent> {
         self.commands.load_received(tag);
         if self.commands.pass_fence(tag) {
-            let resent = self.possibly_lost_commands();
-            self.mark_resent();
-            self.commands.resume(resent);
-            return Vec::new();
+            return self.pass_fence();
         }
         if self.load_query.take_if(|pending| *pending == tag).is_none() {
             return Vec::new();
@@ -262,7 +250,7 @@
         tracing::debug!(command, id = ?run.wire_id, "engine refused a command");
         // Any other refusal means that the command was redundant, not that the engine has no such run.
         let is_unknown_run =
-            command == "RUN" && !run.has_begun || command == "HALT" && !run.is_awaited;
+            command == "RUN" && !run.has_begun() || command == "HALT" && !run.is_awaited;
         self.counters.refused += 1;
         if !is_unknown_run {
             return Vec::new();
@@ -271,25 +259,47 @@
         vec![ExecutionEvent::Ended(id, RunOutcome::NotStarted, output)]
     }
 
-    /// Commands that were completely written but may have been lost with the link: the start commands of idempotent
-    /// runs that have not shown that they began, and the resume commands that were sent shortly before the link broke.
-    fn possibly_lost_commands(&self) -> Vec<EngineCommand> {
-        self.runs
-            .values()
-            .filter(|run| run.is_awaited)
-            .filter_map(|run| run.possibly_lost_command(self.link_lost_at))
-            .filter(|command| !self.commands.is_queued(command))
-            .collect()
+    /// All messages of earlier links have been read: sends commands that may have been lost with the last link again
+    /// where that is safe, then those that are queued. Returns the events of calls whose result may have been lost.
+    fn pass_fence(&mut self) -> Vec<ExecutionEvent> {
+        let mut repeated = 0;
+        for run in self.runs.values_mut().filter(|run| run.is_awaited) {
+            if let Some(command) = run.repeatable_command() {
+                run.delivery = self.commands.send(command);
+                repeated += 1;
+            }
+        }
+        self.send_queued_commands();
+        let events = self.calls_without_result();
+        if repeated + events.len() > 0 {
+            let lost_results = events.len();
+            tracing::info!(
+                repeated,
+                lost_results,
+                "commands may have been lost with the link"
+            );
+        }
+        events
     }
 
-    /// Marks the runs whose commands are sent again as no longer possibly lost.
-    fn mark_resent(&mut self) {
-        let runs = self.runs.values_mut();
-        for run in runs.filter(|run| run.is_awaited && run.is_idempotent) {
-            run.may_be_lost = false;
+    fn send_queued_commands(&mut self) {
+        let queued = self.commands.queued_runs();
+        let delivery = self.commands.resume();
+        for wire_id in queued {
+            if let Some((_, run)) = self.find_run(wire_id) {
+                run.delivery = delivery;
+            }
         }
     }
 
+    /// An event for each awaited run that may still wait for a call although its result was sent.
+    fn calls_without_result(&self) -> Vec<ExecutionEvent> {
+        let runs = self.runs.iter().filter(|(_, run)| run.is_awaited);
+        runs.filter(|(_, run)| run.call_without_result().is_some())
+            .map(|(id, _)| ExecutionEvent::CallResultPossiblyLost(*id))
+            .collect()
+    }
+
     /// Makes the call that the run waits for, with this timeout.
     pub fn start_call(&mut self, id: RequestId, timeout: Time) {
         let Some(run) = self.runs.get_mut(&id) else {
@@ -322,7 +332,6 @@
     /// Handles the end of a call; returns `None` if the call was cancelled before.
     pub fn handle_call_ended(
         &mut self,
-        now: Time,
         id: RequestId,
         number: CallNumber,
         result: Result<Vec<u8>, CallError>,
@@ -332,10 +341,11 @@
         drop(task);
         let outcome = match result {
             Ok(reply) => {
-                let command = EngineCommand::CallResult(run.wire_id, reply);
-                run.needed_call = None;
-                run.resume_command = Some((now, command.clone()));
-                self.commands.send(command);
+                if let Some(needed) = run.needed_call.take() {
+                    let command = EngineCommand::CallResult(run.wire_id, reply);
+                    run.last_command = LastCommand::CallResult(needed.message);
+                    run.delivery = self.commands.send(command);
+                }
                 CallOutcome::Completed
             }
             Err(error) => {
@@ -352,15 +362,17 @@
         Some(ExecutionEvent::CallEnded(id, outcome))
     }
 
-    /// Resumes the run without the call that it waits for.
-    pub fn skip_call(&mut self, now: Time, id: RequestId) {
+    /// Resumes the run without the call that it waits for, or whose result may have been lost. In the latter case the
+    /// command has no effect on a run that has received the result.
+    pub fn skip_call(&mut self, id: RequestId) {
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
-        if let Some(needed) = run.needed_call.take() {
-            let command = EngineCommand::SkipCall(run.wire_id, needed.message);
-            run.resume_command = Some((now, command.clone()));
-            self.commands.send(command);
+        let needed = run.needed_call.take().map(|call| call.message);
+        if let Some(message) = needed.or(run.call_without_result()) {
+            run.last_command = LastCommand::SkipCall(message);
+            let command = EngineCommand::SkipCall(run.wire_id, message);
+            run.delivery = self.commands.send(command);
         }
     }
 }
--- a/crates/server/src/execution/mod.rs
+++ b/crates/server/src/execution/mod.rs
@@ -45,6 +45,8 @@
     CallRequested(RequestId),
     /// The run's call to the records service has ended.
     CallEnded(RequestId, CallOutcome),
+    /// The run may still wait for its call: the result may have been lost with the link to the engine.
+    CallResultPossiblyLost(RequestId),
     /// The CPU utilization that the dispatcher queried, as a fraction of all cores; `None` if unknown.
     LoadSample(Option<f64>),
     /// The self-test with this tag has finished; true if it passed.
@@ -129,7 +131,7 @@
             return vec![ExecutionEvent::Ended(id, RunOutcome::Failed, output)];
         };
         let class = self.handlers.names[handler].clone();
-        engine.start(now, id, request, class, is_idempotent);
+        engine.start(id, request, class, is_idempotent);
         Vec::new()
     }
 
