Drain: the grace and the time to answer count from the notice, also after a late HELLO

Cause: the first HELLO builds a new admission controller, which was told drain(now, time left). It took now, the moment of the HELLO, as the time of the notice: the grace began anew, and all were to be answered by 0.95 of the time left, which lies after the end of the process (0.985 of stop_ms) once 0.7 of stop_ms is over.

Evidence: the two new tests fail on the code before, with real processes: a request 0.2 s after the grace is run (answer 9 for 0), and a request run 0.8 of stop_ms after the notice meets the end of its connection (UnexpectedEof).

Change: drain takes the notice with its time (ShutdownNotice), and both limits count from it, so it no longer matters when the controller was built. It is told before its first tick, which no longer reports the server healthy during a drain.

Looked for on related paths: the deadline and the age of requests submitted again count from their arrival, slow start from the engine's start, aggregations' end from the signal, stop_ms is kept over a SIGHUP, dependencies' gates and leases are changed in place. A dedup window that is opened again starts at the HELLO: longer, never shorter; left so.

--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -3,7 +3,7 @@
 use crate::decode;
 use crate::encode::encode_actions;
 use crate::error::AdapterError;
-use cottondyke_admission::{Actions, AdmissionController, LoadSample, Time};
+use cottondyke_admission::{Actions, AdmissionController, LoadSample, ShutdownNotice, Time};
 use cottondyke_settings::{admission_controller, string, unsigned, wire_names, WireNames};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -91,7 +91,13 @@
                 controller.call_ended(now, id, decode::call_outcome(event)?)
             }
             "Abandoned" => controller.request_abandoned(now, decode::request_id(event)?),
-            "Leaving" => controller.drain(now, decode::duration(event, "grace_ms")?),
+            "Leaving" => {
+                let notice = ShutdownNotice {
+                    received_at: now,
+                    timeout: decode::duration(event, "grace_ms")?,
+                };
+                controller.drain(now, notice)
+            }
             "Wake" => controller.tick(now, decode::load_sample(event, &self.wire_names)?),
             _ => {
                 return Err(AdapterError::UnknownEvent {
--- a/crates/admission/src/arrival.rs
+++ b/crates/admission/src/arrival.rs
@@ -68,3 +68,12 @@
     /// The number of tasks that want a core now: runs of requests and all others.
     pub runnable_tasks: Option<f64>,
 }
+
+/// The notice that the server must shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownNotice {
+    /// When the notice was received, also if the controller is told later or was created since.
+    pub received_at: Time,
+    /// Time from the notice until the server is stopped.
+    pub timeout: Time,
+}
--- a/crates/admission/src/inputs.rs
+++ b/crates/admission/src/inputs.rs
@@ -1,7 +1,7 @@
 //! The inputs of the controller: each is recorded, then the rules of the policy are evaluated until none fires.
 
 use crate::actions::Actions;
-use crate::arrival::{Arrival, CallOutcome, LoadSample, RunOutcome};
+use crate::arrival::{Arrival, CallOutcome, LoadSample, RunOutcome, ShutdownNotice};
 use crate::controller::AdmissionController;
 use crate::policy::concurrency_limit::SAMPLE_INTERVAL;
 use crate::policy::cost_estimator::base_cost;
@@ -108,13 +108,13 @@
         self.apply_rules(now, Actions::default())
     }
 
-    /// The server must shut down within `time_left`.
-    pub fn drain(&mut self, now: Time, time_left: Time) -> Actions {
+    /// The server must shut down. The grace period and the time to answer count from the notice.
+    pub fn drain(&mut self, now: Time, notice: ShutdownNotice) -> Actions {
         self.advance(now);
-        let answer_by = now + time_left.scaled(ANSWER_FRACTION) - self.schedule.resolution;
+        let answer_within = notice.timeout.scaled(ANSWER_FRACTION) - self.schedule.resolution;
         self.drain = Some(Drain {
-            started_at: now,
-            answer_by,
+            started_at: notice.received_at,
+            answer_by: notice.received_at + answer_within,
         });
         self.apply_rules(
             now,
@@ -125,14 +125,15 @@
         )
     }
 
-    /// Time has passed. The first tick sets the answer to health checks to healthy. `sample` is used when a load sample
-    /// is due.
+    /// Time has passed. The first tick sets the answer to health checks to healthy, unless the server shuts down.
+    /// `sample` is used when a load sample is due.
     pub fn tick(&mut self, now: Time, sample: LoadSample) -> Actions {
         self.advance(now);
         if let Some(delay) = self.schedule.record_tick(now) {
             self.answer_margin.record_delay(now, delay);
         }
-        let health = self.schedule.is_first_tick().then_some(true);
+        let becomes_healthy = self.schedule.is_first_tick() && self.drain.is_none();
+        let health = becomes_healthy.then_some(true);
         let mut actions = Actions {
             health,
             ..Actions::default()
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -29,7 +29,7 @@
 mod windows;
 
 pub use actions::{Actions, Rejection, Rule, RuleFiring};
-pub use arrival::{Arrival, CallOutcome, LoadSample, RunOutcome};
+pub use arrival::{Arrival, CallOutcome, LoadSample, RunOutcome, ShutdownNotice};
 pub use config::{
     AdmissionConfig, AdviceFormat, CallConfig, CallerConfig, Cancellation, ConcurrencyConfig,
     GoalWeights,
--- a/crates/admission/tests/decide/admission.rs
+++ b/crates/admission/tests/decide/admission.rs
@@ -31,6 +31,28 @@
     assert_eq!(server.advice, 0.0);
 }
 
+/// A controller that was created after the shutdown notice counted the grace and the time to answer from its creation: it
+/// ran requests that came too late, and answered others after the end of the process.
+#[test]
+fn counts_the_drain_from_its_notice_when_the_controller_is_told_later() {
+    let timeout = DRAIN_GRACE + DRAIN_GRACE;
+    let mut server = ServerModel::new(DEFAULT_SETUP);
+    let notice = server.now;
+    server.advance(DRAIN_GRACE - Time(100));
+    server.drain_since(notice, timeout);
+    let in_time = server.arrive(0, Time(0), timeout, None);
+    server.advance(Time(200));
+    let late = server.arrive(0, Time(0), timeout, None);
+    let late = &server.requests[&late];
+    assert!(late.answered && !late.was_started);
+    assert!(server.requests[&in_time].was_started);
+    server.advance(notice + timeout - server.now);
+    assert!(
+        server.requests[&in_time].answered,
+        "before the process ends"
+    );
+}
+
 #[test]
 fn rejects_a_queued_request_that_is_predicted_late_while_the_limit_is_shrunk() {
     // With few runs on the cores, predictive admission took a server for idle that was busy reading requests.
--- a/crates/admission/tests/decide/server_model.rs
+++ b/crates/admission/tests/decide/server_model.rs
@@ -324,9 +324,18 @@
         }
     }
 
-    pub(crate) fn drain(&mut self, time_left: Time) {
-        self.draining = Some((self.now, self.now + time_left));
-        let actions = self.controller.drain(self.now, time_left);
+    pub(crate) fn drain(&mut self, timeout: Time) {
+        self.drain_since(self.now, timeout);
+    }
+
+    /// Tells the controller of a shutdown notice that was received earlier.
+    pub(crate) fn drain_since(&mut self, received_at: Time, timeout: Time) {
+        self.draining = Some((received_at, received_at + timeout));
+        let notice = ShutdownNotice {
+            received_at,
+            timeout,
+        };
+        let actions = self.controller.drain(self.now, notice);
         self.apply(actions);
     }
 
--- a/crates/server/src/dispatcher/engine.rs
+++ b/crates/server/src/dispatcher/engine.rs
@@ -55,12 +55,11 @@
         self.dedup = DedupTable::default();
         self.requests.remove_answered();
         self.ticks.clear();
-        self.tick(now, LoadSample::default());
-        if let Some(shutdown_at) = self.shutdown_at {
-            let left = shutdown_at + self.shutdown_timeout() - now;
-            let actions = self.admission.drain(now, left);
+        if let Some(notice) = self.shutdown_notice() {
+            let actions = self.admission.drain(now, notice);
             self.perform_all(now, actions);
         }
+        self.tick(now, LoadSample::default());
         for id in self.requests.ids_where(|request| !request.is_answered) {
             self.readmit(now, id);
         }
--- a/crates/server/src/dispatcher/shutdown.rs
+++ b/crates/server/src/dispatcher/shutdown.rs
@@ -2,6 +2,7 @@
 use super::RequestDispatcher;
 use crate::clock::time_from_ms;
 use crate::shutdown::{self, ShutdownPhase, FULL_AGGREGATIONS_UNTIL};
+use cottondyke_admission::ShutdownNotice;
 use cottondyke_types::Time;
 
 /// Fraction of the shutdown timeout by which phases may begin earlier.
@@ -16,14 +17,24 @@
         tracing::info!(in_flight = self.requests.len(), "shutting down");
         self.shutdown_at = Some(now);
         let timeout = self.shutdown_timeout();
-        let actions = self.admission.drain(now, timeout);
-        self.perform_all(now, actions);
+        if let Some(notice) = self.shutdown_notice() {
+            let actions = self.admission.drain(now, notice);
+            self.perform_all(now, actions);
+        }
         let until = now + timeout.scaled(FULL_AGGREGATIONS_UNTIL);
         self.executors.start_draining(now, until);
         self.connections.send_go_away_to_all(now);
         self.next_maintenance = now;
     }
 
+    /// The notice of a shutdown that has begun.
+    pub(super) fn shutdown_notice(&self) -> Option<ShutdownNotice> {
+        self.shutdown_at.map(|received_at| ShutdownNotice {
+            received_at,
+            timeout: self.shutdown_timeout(),
+        })
+    }
+
     /// The configured time from the shutdown signal to the end of the process.
     pub(super) fn shutdown_timeout(&self) -> Time {
         time_from_ms(self.config.shutdown_timeout.as_secs_f64() * 1_000.0)
--- a/crates/server/tests/serve/shutdown.rs
+++ b/crates/server/tests/serve/shutdown.rs
@@ -1,5 +1,6 @@
 //! Shutdown on SIGTERM.
 use crate::rig::*;
+use cottondyke_test_support::fakes::{FakeEngine, FakeSidecar, ReceivedFrame};
 use serde_json::json;
 use std::time::Duration;
 
@@ -50,3 +51,57 @@
         "{time:?}"
     );
 }
+
+/// Type of a frame with a response to a request.
+const RESPONSE: u8 = 2;
+const STOP_MS: u64 = 1_600;
+const GRACE_MS: u64 = 400;
+
+/// A server that was told to shut down before its engine was up, and whose engine comes up `delay` after the notice.
+fn drain_before_engine_is_up(grace_ms: u64, delay: Duration) -> (Rig, FakeEngine) {
+    let rig = Rig::with(|conf| {
+        conf["stop_ms"] = json!(STOP_MS);
+        conf["settings"]["obligations"]["drain_grace_ms"] = json!(grace_ms as f64);
+    });
+    let mut sidecar = rig.connect_sidecar();
+    assert_ne!(check_health(&mut sidecar), 1, "no engine yet");
+    rig.signal("-TERM");
+    rig.wait_for_log("shutting down");
+    std::thread::sleep(delay);
+    let link = rig.accept_engine(0);
+    (rig, link)
+}
+
+/// The next response, past notices that the connection takes no new request.
+fn receive_response(sidecar: &mut FakeSidecar) -> ReceivedFrame {
+    let mut frames = std::iter::repeat_with(|| sidecar.receive().unwrap());
+    frames.find(|frame| frame.kind == RESPONSE).unwrap()
+}
+
+/// Guards against work that arrives after the grace of a drain and runs: the grace was counted from the engine's first
+/// hello where that came after the notice.
+#[test]
+fn runs_nothing_after_the_grace_when_the_engine_comes_up_during_the_drain() {
+    let (mut rig, _link) =
+        drain_before_engine_is_up(GRACE_MS, Duration::from_millis(GRACE_MS + 200));
+    let mut late = rig.connect_sidecar();
+    send_request(&mut late, 1, IDEMPOTENT, &[], b"");
+    let response = receive_response(&mut late);
+    assert_eq!((response.stream, response.code), (1, 0), "rejected");
+    assert_ne!(check_health(&mut late), 1);
+    assert_eq!(rig.wait_for_exit().0.code(), Some(0));
+}
+
+/// Guards against requests that are run and never answered: the time to answer was counted from the engine's first hello
+/// where that came after the notice, and ended after the process.
+#[test]
+fn answers_what_it_runs_when_the_engine_comes_up_late_in_the_drain() {
+    let (mut rig, mut link) =
+        drain_before_engine_is_up(STOP_MS, Duration::from_millis(STOP_MS * 4 / 5));
+    let mut sidecar = rig.connect_sidecar();
+    send_request(&mut sidecar, 1, IDEMPOTENT, &[], b"");
+    assert_eq!(expect_start(&mut link), id(1), "within the grace");
+    let response = receive_response(&mut sidecar);
+    assert_eq!((response.stream, response.code), (1, 9), "the run hangs");
+    assert_eq!(rig.wait_for_exit().0.code(), Some(0));
+}
