Soak: links break and the engine moves while runs make calls

The fake machine checks which call each result belongs to, numbers its notices and repeats them on the next link.

--- a/crates/server/tests/serve/fleet.rs
+++ b/crates/server/tests/serve/fleet.rs
@@ -34,7 +34,12 @@
     configured_cold_speed: 1.0,
     configured_warm_within: Duration::from_secs(1),
     overload_factor: 3.0,
-    makes_calls: false,
+    calls: 0,
+    max_call_wait: Duration::MAX,
+    notices: NoticeStyle {
+        pause: Duration::ZERO,
+        repeat_one_in: 0,
+    },
 };
 
 /// The servers of a fleet and the load that they are sent.
@@ -109,8 +114,8 @@
     settings["group_size"] = json!(config.servers);
     let info = &mut settings["family_info"];
     info["n_cores"] = json!(machine.cores as u64);
-    info["class_calls"] = json!([machine.makes_calls]);
-    info["class_skip_worth"] = json!([if machine.makes_calls { 0.5 } else { 0.0 }]);
+    info["class_calls"] = json!([machine.calls > 0]);
+    info["class_skip_worth"] = json!([if machine.calls > 0 { 0.5 } else { 0.0 }]);
     info["dep_share"] = json!(CALL_SHARE);
     info["calls_over_ms"] = ms(OVERLOAD_WINDOW);
     info["upstreams"] = json!(SIDECARS);
--- a/crates/server/tests/serve/overload.rs
+++ b/crates/server/tests/serve/overload.rs
@@ -76,7 +76,7 @@
     let mut fleet = Fleet::start(FleetConfig {
         servers,
         machine: MachineConfig {
-            makes_calls: true,
+            calls: 1,
             ..STEADY_MACHINE
         },
         mean_work: Duration::from_millis(20),
--- a/crates/server/tests/serve/process.rs
+++ b/crates/server/tests/serve/process.rs
@@ -104,9 +104,14 @@
         was_running
     }
 
+    /// Replaces the configuration file, which the server reads at its next SIGHUP.
+    pub(crate) fn replace_config(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+    }
+
     /// Replaces the configuration file, sends SIGHUP and waits for the log line `logged`.
     pub(crate) fn reload(&self, text: &str, logged: &str) {
-        std::fs::write(&self.path, text).unwrap();
+        self.replace_config(text);
         self.signal("-HUP");
         self.wait_for_log(logged);
     }
--- a/crates/server/tests/soak/main.rs
+++ b/crates/server/tests/soak/main.rs
@@ -1,12 +1,15 @@
-//! A soak: servers are drained, killed and started again under clients that use their connections until the kill. Each
-//! seed is one schedule. By default a few seeds run; `SOAK_SEEDS=1-50` names others, and `--nocapture` prints each.
+//! Soaks: servers are drained, killed and started again under clients that use their connections until the kill, and
+//! links to the engine break. Each seed is one schedule of each soak. By default a few seeds run; `SOAK_SEEDS=1-50` names
+//! others, and `--nocapture` prints each.
 mod client;
+mod links;
 #[path = "../serve/process.rs"]
 #[expect(
     dead_code,
     reason = "shared with the tests of `serve`, which use all of it"
 )]
 mod process;
+mod records;
 #[path = "../serve/rig.rs"]
 #[expect(
     dead_code,
@@ -16,11 +19,12 @@
 
 use crate::client::{Client, ClientPlan, Tally};
 use crate::rig::*;
-use cottondyke_test_support::fake_machine::{FakeMachine, MachineConfig, StartKind};
+use cottondyke_test_support::fake_machine::{FakeMachine, MachineConfig, NoticeStyle, StartKind};
 use cottondyke_test_support::fakes::FakeSidecar;
 use fastrand::Rng;
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The seeds that run by default, and how many run at the same time.
@@ -153,7 +157,12 @@
     configured_cold_speed: 1.0,
     configured_warm_within: Duration::from_secs(1),
     overload_factor: 8.0,
-    makes_calls: false,
+    calls: 0,
+    max_call_wait: Duration::MAX,
+    notices: NoticeStyle {
+        pause: Duration::ZERO,
+        repeat_one_in: 0,
+    },
 };
 
 /// The first and the last seed to run.
@@ -165,25 +174,21 @@
     (first.parse().unwrap(), last.parse().unwrap())
 }
 
-/// Guards the rules of an answer over drains, kills, restarts, floods and crowds: each request that was sent in time
-/// gets one final answer before its deadline, and each process has ended by itself before it may be killed.
-#[test]
-fn loses_nothing_over_drains_restarts_and_floods() {
+/// Held by the soak that runs: each keeps the cores busy by itself.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// Plays all seeds, some of them at the same time, and fails if one of them breaks a rule.
+fn play_seeds(play: impl Fn(u64) -> Result<(), String> + Sync) {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (first, last) = seeds();
     let next = AtomicU64::new(first);
     let failed: Vec<String> = std::thread::scope(|scope| {
         let play_some = || {
-            let mut failed = Vec::new();
-            loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed > last {
-                    return failed;
-                }
-                let tally = play(seed);
-                if !tally.keeps_rules() {
-                    failed.push(format!("seed {seed}: {tally:?}"));
-                }
-            }
+            let seeds = std::iter::repeat_with(|| next.fetch_add(1, Ordering::Relaxed));
+            let seeds = seeds.take_while(|seed| *seed <= last);
+            seeds
+                .filter_map(|seed| play(seed).err())
+                .collect::<Vec<_>>()
         };
         let threads: Vec<_> = (0..PARALLEL).map(|_| scope.spawn(play_some)).collect();
         let results = threads
@@ -193,3 +198,16 @@
     });
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards the rules of an answer over drains, kills, restarts, floods and crowds: each request that was sent in time
+/// gets one final answer before its deadline, and each process has ended by itself before it may be killed.
+#[test]
+fn loses_nothing_over_drains_restarts_and_floods() {
+    play_seeds(|seed| {
+        let tally = play(seed);
+        match tally.keeps_rules() {
+            true => Ok(()),
+            false => Err(format!("seed {seed}: {tally:?}")),
+        }
+    });
+}
--- a/crates/test-support/src/fake_machine/cores.rs
+++ b/crates/test-support/src/fake_machine/cores.rs
@@ -1,5 +1,5 @@
 //! The cores of a machine: the runs that share them, their speed after a cold start, and a record of their load.
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Configuration of a machine.
@@ -17,8 +17,32 @@
     pub configured_warm_within: Duration,
     /// Runs per core that the machine survives when warm.
     pub overload_factor: f64,
-    /// Whether each run needs one call to a dependency before it uses the cores.
-    pub makes_calls: bool,
+    /// Calls to a dependency that each run makes: one before each of as many equal parts of its work.
+    pub calls: u32,
+    /// How long a run waits for a call before it ends, as if its request was over.
+    pub max_call_wait: Duration,
+    /// How notices are written.
+    pub notices: NoticeStyle,
+}
+
+/// How notices are written to a link.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoticeStyle {
+    /// Pause in the middle of notices that are written together.
+    pub pause: Duration,
+    /// One notice in this many is written twice; 0 for none.
+    pub repeat_one_in: usize,
+}
+
+/// Call results that runs were given.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallResults {
+    /// The result of the call that the run waited for.
+    pub right: u64,
+    /// The result of another call.
+    pub wrong: u64,
+    /// Waits that ended since no result came.
+    pub missing: u64,
 }
 
 /// How a machine starts.
@@ -48,6 +72,42 @@
     survivable: f64,
 }
 
+/// The work of a run that is left after its current part.
+#[derive(Clone, Copy, Debug)]
+struct LaterParts {
+    /// Parts of work that are left, each with a call before it.
+    count: u32,
+    /// Seconds of work of each.
+    work: f64,
+}
+
+/// A run on the cores.
+#[derive(Clone, Copy, Debug)]
+struct ActiveRun {
+    /// Remaining seconds of work of its current part.
+    remaining: f64,
+    later: LaterParts,
+}
+
+/// A run that waits for its call.
+#[derive(Clone, Copy, Debug)]
+struct WaitingRun {
+    /// The notice that asked for the call.
+    notice: u64,
+    since: Instant,
+    later: LaterParts,
+}
+
+/// The body of the call that a notice asks for.
+fn call_body(notice: u64) -> String {
+    format!("call of notice {notice}")
+}
+
+/// The result of a call with this body, as a dependency must return it to pass as the right one.
+pub fn call_result(body: &str) -> String {
+    format!("result of the {body}")
+}
+
 /// The cores, and the runs on them.
 #[derive(Debug)]
 pub(super) struct Cores {
@@ -56,20 +116,21 @@
     started_at: Instant,
     advanced_at: Instant,
     is_hung: bool,
-    /// Remaining seconds of work of each run on the cores, by its id.
-    runs: BTreeMap<String, f64>,
-    /// Seconds of work of each run that waits for its call, by its id.
-    waiting_for_call: BTreeMap<String, f64>,
+    /// Runs on the cores, by id.
+    runs: BTreeMap<String, ActiveRun>,
+    /// Runs that wait for a call, by id.
+    waiting_for_call: BTreeMap<String, WaitingRun>,
+    call_results: CallResults,
     started_runs: Vec<StartedRun>,
     load_samples: Vec<LoadSample>,
-    /// The number of the last notice since the machine's start.
-    last_notice: u64,
-    /// Notices that have not been written to a connection yet.
-    notices: VecDeque<String>,
+    /// All notices since the machine's start; the first has number 1.
+    notices: Vec<String>,
     /// The number of the current link, which replaced all earlier ones.
     current_link: u64,
     /// Links up to this number are broken.
     last_broken_link: u64,
+    /// When the current link breaks; until then, commands on it are lost.
+    breaks_at: Option<Instant>,
 }
 
 impl Cores {
@@ -82,12 +143,13 @@
             is_hung: false,
             runs: BTreeMap::new(),
             waiting_for_call: BTreeMap::new(),
+            call_results: CallResults::default(),
             started_runs: Vec::new(),
             load_samples: Vec::new(),
-            last_notice: 0,
-            notices: VecDeque::new(),
+            notices: Vec::new(),
             current_link: 0,
             last_broken_link: 0,
+            breaks_at: None,
         }
     }
 
@@ -104,11 +166,23 @@
 
     pub(super) fn break_link(&mut self) {
         self.last_broken_link = self.current_link;
+        self.breaks_at = None;
+    }
+
+    /// The current link breaks at this time; commands that are read on it until then are lost.
+    pub(super) fn break_link_at(&mut self, at: Instant) {
+        self.breaks_at = Some(at);
+    }
+
+    /// Whether commands on the current link are executed.
+    pub(super) fn executes_commands(&self) -> bool {
+        self.breaks_at.is_none()
     }
 
     /// Opens a new link, which replaces the one before, and returns its number.
     pub(super) fn open_link(&mut self) -> u64 {
         self.current_link += 1;
+        self.breaks_at = None;
         self.current_link
     }
 
@@ -150,32 +224,75 @@
             running,
             survivable,
         });
+        if self.breaks_at.is_some_and(|at| at <= now) {
+            self.break_link();
+        }
+        self.end_waiting_runs(now);
         if self.is_hung {
             return;
         }
         let share = (self.config.cores / running.max(1.0)).min(1.0);
-        for remaining in self.runs.values_mut() {
-            *remaining -= length * speed * share;
+        for run in self.runs.values_mut() {
+            run.remaining -= length * speed * share;
+        }
+        let done = self.runs.iter().filter(|(_, run)| run.remaining <= 0.0);
+        let done: Vec<String> = done.map(|(id, _)| id.clone()).collect();
+        for id in done {
+            self.end_part(&id, now);
+        }
+    }
+
+    /// A part of a run's work is done: the run asks for its next call, or ends.
+    fn end_part(&mut self, id: &str, now: Instant) {
+        let Some(run) = self.runs.get(id).copied() else {
+            return;
+        };
+        if run.later.count == 0 {
+            return self.end_run(id, "fine");
         }
-        let ended = self.runs.iter().filter(|(_, remaining)| **remaining <= 0.0);
-        let ended: Vec<String> = ended.map(|(id, _)| id.clone()).collect();
-        for id in ended {
-            self.end_run(&id, "fine");
+        self.runs.remove(id);
+        self.wait_for_call(id, run.later, now);
+    }
+
+    fn wait_for_call(&mut self, id: &str, later: LaterParts, now: Instant) {
+        let notice = self.next_notice();
+        let body = call_body(notice);
+        let waiting = WaitingRun {
+            notice,
+            since: now,
+            later,
+        };
+        self.waiting_for_call.insert(id.to_string(), waiting);
+        let length = body.len();
+        self.notices
+            .push(format!("NEED {notice} {id} {length}\r\n{body}\r\n"));
+    }
+
+    /// Ends the runs that have waited for a call for too long.
+    fn end_waiting_runs(&mut self, now: Instant) {
+        let max_wait = self.config.max_call_wait;
+        let runs = self.waiting_for_call.iter();
+        let over = runs.filter(|(_, run)| now.duration_since(run.since) > max_wait);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.call_results.missing += 1;
+            self.end_run(&id, "broken_off");
         }
     }
 
+    /// The number of the next notice.
+    fn next_notice(&self) -> u64 {
+        self.notices.len() as u64 + 1
+    }
+
     /// Removes a run, and queues the notice of its outcome.
     fn end_run(&mut self, id: &str, outcome: &str) {
-        if self
-            .runs
-            .remove(id)
-            .or(self.waiting_for_call.remove(id))
-            .is_some()
-        {
-            self.last_notice += 1;
-            let notice = self.last_notice;
+        let was_active = self.runs.remove(id).is_some();
+        let was_waiting = self.waiting_for_call.remove(id).is_some();
+        if was_active || was_waiting {
+            let notice = self.next_notice();
             self.notices
-                .push_back(format!("DONE {notice} {id} {outcome} 1 0\r\n\r\n"));
+                .push(format!("DONE {notice} {id} {outcome} 1 0\r\n\r\n"));
         }
     }
 
@@ -186,21 +303,53 @@
         }
         let at = now.duration_since(self.started_at);
         self.started_runs.push(StartedRun { at, work });
-        if self.config.makes_calls {
-            self.waiting_for_call.insert(id.to_string(), work);
-            self.last_notice += 1;
-            let notice = self.last_notice;
-            self.notices
-                .push_back(format!("NEED {notice} {id} 4\r\ncall\r\n"));
+        let calls = self.config.calls;
+        let later = LaterParts {
+            count: calls,
+            work: work / f64::from(calls.max(1)),
+        };
+        if calls > 0 {
+            self.wait_for_call(id, later, now);
         } else {
-            self.runs.insert(id.to_string(), work);
+            let run = ActiveRun {
+                remaining: work,
+                later,
+            };
+            self.runs.insert(id.to_string(), run);
+        }
+    }
+
+    /// Gives the result of a call to a run, which takes it as that of the call that it waits for.
+    pub(super) fn give_call_result(&mut self, id: &str, result: &str) {
+        let Some(run) = self.waiting_for_call.get(id) else {
+            return;
+        };
+        if result == call_result(&call_body(run.notice)) {
+            self.call_results.right += 1;
+        } else {
+            self.call_results.wrong += 1;
+        }
+        self.resume_run(id);
+    }
+
+    /// Lets a run continue without the call that this notice asked for, if it waits for that one.
+    pub(super) fn skip_call(&mut self, id: &str, notice: u64) {
+        let run = self.waiting_for_call.get(id);
+        if run.is_some_and(|run| run.notice == notice) {
+            self.resume_run(id);
         }
     }
 
     /// Moves a run whose call is over to the cores.
-    pub(super) fn resume_run(&mut self, id: &str) {
-        if let Some(work) = self.waiting_for_call.remove(id) {
-            self.runs.insert(id.to_string(), work);
+    fn resume_run(&mut self, id: &str) {
+        if let Some(waiting) = self.waiting_for_call.remove(id) {
+            let mut later = waiting.later;
+            later.count -= 1;
+            let run = ActiveRun {
+                remaining: later.work,
+                later,
+            };
+            self.runs.insert(id.to_string(), run);
         }
     }
 
@@ -209,8 +358,18 @@
         self.end_run(id, "broken_off");
     }
 
-    pub(super) fn take_notices(&mut self) -> Vec<String> {
-        self.notices.drain(..).collect()
+    /// The notices after number `last`.
+    pub(super) fn notices_after(&self, last: usize) -> Vec<String> {
+        self.notices.get(last..).unwrap_or_default().to_vec()
+    }
+
+    /// How notices are written.
+    pub(super) fn notice_style(&self) -> NoticeStyle {
+        self.config.notices
+    }
+
+    pub(super) fn call_results(&self) -> CallResults {
+        self.call_results
     }
 
     /// The gauges of a `STATS` line: utilization of the cores, runnable tasks, memory, connections.
--- a/crates/test-support/src/fake_machine/mod.rs
+++ b/crates/test-support/src/fake_machine/mod.rs
@@ -3,7 +3,7 @@
 mod cores;
 mod link;
 
-pub use cores::{MachineConfig, StartKind, StartedRun};
+pub use cores::{call_result, CallResults, MachineConfig, NoticeStyle, StartKind, StartedRun};
 
 use cores::Cores;
 use std::io;
@@ -61,6 +61,16 @@
         Ok(FakeMachine { addr, shared })
     }
 
+    /// Accepts links on one more address, and returns it.
+    pub fn listen_again(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let accepting = self.shared.clone();
+        std::thread::spawn(move || link::accept_links(&listener, &accepting));
+        Ok(addr)
+    }
+
     /// The address to which the server connects.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -81,6 +91,16 @@
         self.shared.cores().break_link();
     }
 
+    /// Breaks the current link after this time, in which commands that the server sends are lost.
+    pub fn break_link_losing(&self, window: Duration) {
+        self.shared.cores().break_link_at(Instant::now() + window);
+    }
+
+    /// The call results that runs were given since the machine's last start.
+    pub fn call_results(&self) -> CallResults {
+        self.shared.cores().call_results()
+    }
+
     /// The runs that were started since the machine's last start, oldest first.
     pub fn started_runs(&self) -> Vec<StartedRun> {
         self.shared.cores().started_runs().to_vec()
