Engine link: a run whose call result may be lost runs again, if it may

What callers saw, since a FEED is never repeated: a request whose call result was lost with the link, and whose call cannot be skipped, waited for its deadline and failed.

Change: if its run may be run again (idempotent, runs can be cancelled and are dropped) and there is time, the policy cancels it. HALT names the run, so it cannot reach another call. Once the engine has said that it is stopped, the request is queued again and starts by the same rules as any other, slow start included; if it cannot start, it is failed and not rejected, since a rejection promises that it never ran. Keyed and once requests are left to end, or to their deadline.

--- a/crates/admission/src/inputs.rs
+++ b/crates/admission/src/inputs.rs
@@ -52,6 +52,18 @@
         self.apply_rules(now, Actions::default())
     }
 
+    /// A run was cancelled while its request was unanswered: the request is queued again.
+    pub fn run_cancelled(&mut self, now: Time, id: RequestId) -> Actions {
+        self.advance(now);
+        if let Some(request) = self.requests.get_mut(id).filter(|r| !r.answered) {
+            if request.phase == Phase::Calling {
+                self.calls.occupancy.add_abandoned(now);
+            }
+            request.queue_again(now);
+        }
+        self.apply_rules(now, Actions::default())
+    }
+
     /// A run has not ended long after its request was answered. It no longer counts against the concurrency limit, so
     /// that other requests can run. It may still occupy the machine, so it counts towards the concurrency ceiling until
     /// its end is reported.
@@ -94,7 +106,7 @@
     pub fn call_result_possibly_lost(&mut self, now: Time, id: RequestId) -> Actions {
         self.advance(now);
         let mut actions = Actions::default();
-        self.continue_without_result(id, &mut actions);
+        self.continue_without_result(now, id, &mut actions);
         self.apply_rules(now, actions)
     }
 
--- a/crates/admission/src/policy/effects.rs
+++ b/crates/admission/src/policy/effects.rs
@@ -25,8 +25,12 @@
         self.requests.remove_answered_unstarted();
     }
 
-    /// Rejects a request that has not been started.
+    /// Rejects a request that has not been started. One that was, and is queued again, is failed: a rejection
+    /// promises that it never ran.
     pub(crate) fn reject(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
+        if self.requests.get(id).is_some_and(|r| r.was_started) {
+            return self.terminate(now, id, actions);
+        }
         let Some(request) = self.requests.remove(id) else { return };
         self.termination.losses.add_rejected(now);
         actions.release_key.extend(self.dedup_keys.remove(&id).map(|_| id));
@@ -100,13 +104,20 @@
         }
     }
 
-    /// Skips the call of a run that may still wait for it although the call completed, if a response without the call
-    /// has value. Else the run is left to end or to be answered at its deadline: it may have received the result.
-    pub(crate) fn continue_without_result(&mut self, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.get(id) else { return };
-        let may_skip = self.priorities.handler(request).skip_value > 0.0;
-        if may_skip && request.is_unanswered_in(Phase::OnCore) {
+    /// Decides on a run that may still wait for its call although the call completed. The call is skipped if
+    /// a response without it has value. Else the run is cancelled if it may be run again and there is time.
+    /// Any other run may have received the result: it is left to end, or to be answered at its deadline.
+    pub(crate) fn continue_without_result(&mut self, now: Time, id: RequestId, actions: &mut Actions) {
+        let Some(request) = self.requests.get(id).filter(|r| r.is_unanswered_in(Phase::OnCore)) else {
+            return;
+        };
+        let handler = self.priorities.handler(request);
+        let run_time = self.costs.current(request) + self.costs.handler(request).off_core_time;
+        let has_time = now.as_f64() + run_time <= self.deadline(request).as_f64();
+        if handler.skip_value > 0.0 {
             actions.skip_call.push(id);
+        } else if has_time && self.termination.may_run_again(handler) {
+            actions.cancel.push(id);
         }
     }
 
--- a/crates/admission/src/policy/termination_threshold.rs
+++ b/crates/admission/src/policy/termination_threshold.rs
@@ -29,6 +29,11 @@
         self.cancellation != Cancellation::Never && handler.idempotency == Idempotency::Idempotent
     }
 
+    /// Whether a cancelled run of the handler leaves nothing behind and may be run once more.
+    pub(crate) fn may_run_again(&self, handler: &Handler) -> bool {
+        self.cancellation == Cancellation::Drop && handler.idempotency == Idempotency::Idempotent
+    }
+
     pub(crate) fn record_run(&mut self, now: Time, request: &RequestRecord) {
         self.run_times[request.handler_index()].record(now, now - request.started_at);
     }
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -41,6 +41,8 @@
     pub(crate) deadline: Time,
     pub(crate) phase: Phase,
     pub(crate) answered: bool,
+    /// Whether it was started before. If it is queued again, it may have run.
+    pub(crate) was_started: bool,
     pub(crate) started_at: Time,
     /// When the request arrived, was started, or last requested, began or ended a call. Skipping a call does not change
     /// it.
@@ -72,6 +74,7 @@
             deadline: client_deadline.max(now),
             phase: Phase::Queued,
             answered: false,
+            was_started: false,
             started_at: now,
             phase_since: now,
             core_clock: 0.0,
@@ -107,11 +110,22 @@
     }
 
     pub(crate) fn start(&mut self, now: Time, core_clock: f64) {
+        self.was_started = true;
         self.started_at = now;
         self.phase_since = now;
         self.resume(core_clock);
     }
 
+    /// Its run was cancelled, and what it did is discarded: it waits to be started once more.
+    pub(crate) fn queue_again(&mut self, now: Time) {
+        self.phase = Phase::Queued;
+        self.phase_since = now;
+        self.core_time = 0.0;
+        self.off_core_time = 0.0;
+        self.attempts = 0;
+        self.calls_wanted = 0.0;
+    }
+
     /// Puts it on the cores.
     pub(crate) fn resume(&mut self, core_clock: f64) {
         self.phase = Phase::OnCore;
--- a/crates/admission/tests/decide/calls.rs
+++ b/crates/admission/tests/decide/calls.rs
@@ -258,3 +258,48 @@
         (0, 1)
     );
 }
+
+/// A run whose call result was lost waited for it until its deadline.
+#[test]
+fn skips_the_call_or_runs_again_when_the_result_may_have_been_lost() {
+    for (skip_value, cancellation, is_cancelled) in [
+        (0.5, Cancellation::Drop, false),
+        (0.0, Cancellation::Drop, true),
+        (0.0, Cancellation::Suspend, false),
+        (0.0, Cancellation::Never, false),
+    ] {
+        for handler in 0..2 {
+            let mut server = ServerModel::new(Setup {
+                skip_value,
+                cancellation,
+                ..DEFAULT_SETUP
+            });
+            let id = server.arrive(handler, Time(0), CLIENT_TIMEOUT, Some(1));
+            server.want_call(id);
+            server.lose_call_result(id);
+            let is_idempotent = server.requests[&id].idempotency == Idempotency::Idempotent;
+            let last = server.actions.iter().rev().take(2);
+            let started_again = last.flat_map(|actions| &actions.start).count() == 1;
+            assert_eq!(started_again, is_cancelled && is_idempotent, "run again");
+            let skipped = server.actions.iter().flat_map(|a| &a.skip_call).count();
+            assert_eq!(skipped, usize::from(skip_value > 0.0), "skipped");
+            assert_eq!(server.requests[&id].state, State::Running);
+            server.end_run(id, RunOutcome::Completed);
+            assert!(server.requests[&id].answered);
+        }
+    }
+}
+
+/// A request whose run was cancelled has run: it must not be rejected, which promises the opposite.
+#[test]
+fn fails_a_request_that_is_queued_again_and_cannot_start() {
+    let mut server = ServerModel::new(DEFAULT_SETUP);
+    let id = server.arrive(0, Time(0), CLIENT_TIMEOUT, None);
+    server.want_call(id);
+    arrive(&mut server, 60, Time(0));
+    server.lose_call_result(id);
+    server.cores_frozen = true;
+    server.advance(CLIENT_TIMEOUT);
+    assert!(server.requests[&id].answered);
+    assert!(server.rejections.iter().all(|rejection| rejection.id != id));
+}
--- a/crates/server/src/dispatcher/outcomes.rs
+++ b/crates/server/src/dispatcher/outcomes.rs
@@ -35,6 +35,7 @@
             ExecutionEvent::Ended(id, outcome, output) => {
                 self.handle_run_ended(now, id, outcome, output)
             }
+            ExecutionEvent::Cancelled(id) => self.handle_run_cancelled(now, id),
             ExecutionEvent::CallRequested(id) => Some(self.admission.call_requested(now, id)),
             ExecutionEvent::CallEnded(id, outcome) => {
                 Some(self.admission.call_ended(now, id, outcome))
@@ -65,6 +66,13 @@
         }
     }
 
+    fn handle_run_cancelled(&mut self, now: Time, id: RequestId) -> Option<Actions> {
+        let request = self.requests.get_mut(id).filter(|r| r.is_running)?;
+        request.is_running = false;
+        self.executors.forget(id);
+        Some(self.admission.run_cancelled(now, id))
+    }
+
     fn handle_run_ended(
         &mut self,
         now: Time,
--- a/crates/server/src/execution/engine.rs
+++ b/crates/server/src/execution/engine.rs
@@ -199,11 +199,15 @@
                 result,
                 ..
             } => {
-                let Some(id) = self.by_wire_id.get(&id) else {
+                let Some((id, run)) = self.find_run(id) else {
                     return Vec::new();
                 };
+                let may_run_again = run.is_awaited && run.is_idempotent;
+                if outcome == RunOutcome::Cancelled && may_run_again {
+                    return vec![ExecutionEvent::Cancelled(id)];
+                }
                 let output = RunOutput::complete(result);
-                vec![ExecutionEvent::Ended(*id, outcome, output)]
+                vec![ExecutionEvent::Ended(id, outcome, output)]
             }
             EngineMessage::CallNeeded { number, id, body } => {
                 let Some((id, run)) = self.find_run(id) else {
--- a/crates/server/src/execution/mod.rs
+++ b/crates/server/src/execution/mod.rs
@@ -41,6 +41,8 @@
     Progressed(RequestId),
     /// The run has ended.
     Ended(RequestId, RunOutcome, RunOutput),
+    /// The run was cancelled while its request was unanswered. The request may be run again.
+    Cancelled(RequestId),
     /// The run requests a call to the records service, which the admission controller has to permit.
     CallRequested(RequestId),
     /// The run's call to the records service has ended.
--- a/crates/server/tests/serve/engine.rs
+++ b/crates/server/tests/serve/engine.rs
@@ -210,6 +210,31 @@
     }
 }
 
+/// A run must not hang until its deadline if its call cannot be skipped and it may be run again: it is cancelled and, once
+/// the engine has said so, started again. If it had received the result after all and ends first, that end counts.
+#[test]
+fn runs_again_when_a_call_result_may_have_been_lost() {
+    for is_lost in [true, false] {
+        let rig = Rig::start();
+        let (mut link, mut sidecar) = rig.connect_engine_and_sidecar();
+        let run = run_past_first_call(&rig, &mut link, &mut sidecar, SHORT_TIMEOUT);
+        drop(link);
+        let mut link = rig.accept_engine(1);
+        assert_eq!(link.receive_command().unwrap().0, ["HALT", &run]);
+        if is_lost {
+            link.send_line_with_body(&format!("DONE 2 {run} broken_off 1"), b"")
+                .unwrap();
+            assert_eq!(expect_start(&mut link), run);
+        } else {
+            link.send_line(&format!("NO HALT {run}")).unwrap();
+        }
+        link.send_line_with_body(&format!("DONE 3 {run} fine 1"), b"result")
+            .unwrap();
+        assert_eq!(sidecar.receive().unwrap().body, b"result");
+        expect_served(&mut link, &mut sidecar, 4, IDEMPOTENT, &[]);
+    }
+}
+
 /// Sets one core, an overdue time of 0.8 s for runs, and the `overload_factor` that determines the concurrency ceiling.
 fn one_core(conf: &mut serde_json::Value, overload_factor: f64) {
     for class in conf["settings"]["classes"].as_array_mut().unwrap() {
