--- a/crates/test-support/src/fake_machine/mod.rs
+++ b/crates/test-support/src/fake_machine/mod.rs
@@ -1,9 +1,11 @@
 //! A fake engine on a machine that is simulated in real time: its runs share a number of cores, it can start cold, and
 //! it records its load. The body of a request gives the work of its run, in microseconds on one core at full speed.
+mod config;
 mod cores;
 mod link;
 
-pub use cores::{call_result, CallResults, MachineConfig, NoticeStyle, StartKind, StartedRun};
+pub use config::{CallResults, MachineConfig, NoticeStyle, StartKind, StartedRun};
+pub use cores::call_result;
 
 use cores::Cores;
 use std::io;
