--- a/review/8/main.rs
+++ b/review/10/main.rs
@@ -1,4 +1,4 @@
-//! Case 8: a sidecar whose workers number their streams in ranges of their own. See `claim.txt`.
+//! Case 10: a sidecar whose workers number their streams in ranges of their own. See `claim.txt`.
 #[path = "../support/mod.rs"]
 mod support;
 
