--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -13,7 +13,7 @@
 
 /// The page's range is 32 to 192 MB.
 const MEMORY_MB: u32 = 64;
-const BAD_CLIENTS: u64 = 40;
+const BAD_CLIENTS: u64 = 30;
 /// Requests that a bad client sends at once, on one connection; the protocol allows 32 open ones.
 const AT_ONCE: u64 = 32;
 /// The length of a key; the format allows 65,535.
