Streams: a new stream number never ends a connection, whatever the order

Cause: past 1,024 stored numbers the decoder took all numbers up to the lowest stored one for used. The test of streams that are used twice is unchanged but for its comment, which described the removed bound. The new test uses the release of streams, which the old code lacks; the case is what failed before.

--- a/crates/server/src/connection/reader.rs
+++ b/crates/server/src/connection/reader.rs
@@ -138,7 +138,7 @@
                 return Ok(ReadEnd::HalfClosed);
             }
             let mut has_frame = false;
-            while let Some(frame) = self.decoder.next_frame()? {
+            while let Some(frame) = self.next_frame()? {
                 has_frame = true;
                 if !self.forward(frame).await {
                     return Ok(ReadEnd::HalfClosed);
@@ -181,11 +181,19 @@
         }
     }
 
+    /// The next complete frame.
+    fn next_frame(&mut self) -> Result<Option<Frame>, ProtocolError> {
+        for stream in self.progress.take_settled() {
+            self.decoder.close_stream(stream);
+        }
+        self.decoder.next_frame()
+    }
+
     /// Sends a frame to the dispatcher; returns false if the dispatcher has ended.
     async fn forward(&self, frame: Frame) -> bool {
         let (id, progress) = (self.id, self.progress);
         let event = match frame {
-            Frame::Request(request) if progress.in_flight.get() < MAX_IN_FLIGHT => {
+            Frame::Request(request) if self.decoder.open_streams() <= MAX_IN_FLIGHT => {
                 Event::Request(id, request)
             }
             Frame::Request(request) => Event::ExcessRequest(id, request.stream),
@@ -197,9 +205,6 @@
             },
             Frame::Cancel(stream) => Event::Cancelled(id, stream),
         };
-        if !matches!(event, Event::HealthCheck { .. } | Event::Cancelled(..)) {
-            progress.in_flight.set(progress.in_flight.get() + 1);
-        }
         progress.events_read.set(progress.events_read.get() + 1);
         self.context.events.send(event).await.is_ok()
     }
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -129,7 +129,7 @@
         response.encode(self.advice, &mut bytes);
         let message = Outgoing::Response {
             bytes,
-            settles_request: response.settles_request(),
+            settles: response.settled_stream(),
         };
         if outgoing.try_send(message).is_err() {
             tracing::warn!(
--- a/crates/server/src/connection/writer.rs
+++ b/crates/server/src/connection/writer.rs
@@ -2,11 +2,12 @@
 //! and no input is left unprocessed.
 use crate::clock::{time_from_ms, to_duration};
 use crate::event::Outgoing;
+use crate::protocol::sidecar::StreamId;
 use crate::socket_io;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -18,8 +19,8 @@
 /// Progress of a connection's reader, shared with its writer.
 #[derive(Default)]
 pub struct ReadProgress {
-    /// Requests that have been read and whose response is not being written yet.
-    pub in_flight: Cell<usize>,
+    /// Streams whose response is being written, until the reader takes them.
+    settled: RefCell<Vec<StreamId>>,
     /// Number of events read, including those that the dispatcher has not processed yet.
     pub events_read: Cell<u64>,
     /// Whether part of a frame has been read.
@@ -27,6 +28,11 @@
 }
 
 impl ReadProgress {
+    /// Takes the streams whose response the writer has begun to write since the last call.
+    pub fn take_settled(&self) -> Vec<StreamId> {
+        self.settled.take()
+    }
+
     /// Whether the connection can be closed without losing a request that was sent before the close, where the
     /// dispatcher has processed `events_processed` events. An event that it has not processed, part of a frame, or
     /// unread bytes keep the connection open. A request that arrives after this check is discarded and never runs; its
@@ -62,25 +68,22 @@
     let mut bytes = Vec::new();
     while let Ok(first) = outgoing.recv().await {
         bytes.clear();
-        let mut settled = 0;
         let mut close_after_events = None;
         for message in std::iter::once(first).chain(std::iter::from_fn(|| outgoing.try_recv().ok()))
         {
             match message {
                 Outgoing::Response {
                     bytes: response,
-                    settles_request,
+                    settles,
                 } => {
                     bytes.extend_from_slice(&response);
-                    settled += usize::from(settles_request);
+                    // Before the first byte is written: a sidecar may send its next request as soon as it has received
+                    // one response, while others of this batch are still being written.
+                    progress.settled.borrow_mut().extend(settles);
                 }
                 Outgoing::Close { events_processed } => close_after_events = Some(events_processed),
             }
         }
-        // Updated before the first byte is written: a sidecar may send its next request as soon as it has received one
-        // response, while others of this batch are still being written.
-        let in_flight = progress.in_flight.get().saturating_sub(settled);
-        progress.in_flight.set(in_flight);
         if write_batch(stream, &bytes, write_timeout).await.is_err() {
             return WriteOutcome::Broken;
         }
--- a/crates/server/src/event.rs
+++ b/crates/server/src/event.rs
@@ -88,8 +88,8 @@
     Response {
         /// The encoded frame.
         bytes: Vec<u8>,
-        /// Whether it is the final answer to a request.
-        settles_request: bool,
+        /// The stream of the request whose final answer it is, if it is one.
+        settles: Option<StreamId>,
     },
     /// Close the connection if the dispatcher has processed everything that was read on it. A request that was sent to
     /// the server but not yet processed when the dispatcher sent this message keeps the connection open.
--- a/crates/server/src/protocol/error.rs
+++ b/crates/server/src/protocol/error.rs
@@ -11,7 +11,7 @@
     RequestOnStreamZero,
     /// Sidecar: an unknown kind of frame.
     UnknownFrameKind,
-    /// Sidecar: a stream number that was used before on this connection.
+    /// Sidecar: a stream number that is in use, or known to have been used before on this connection.
     StreamReused,
     /// Sidecar: the fields of a frame cannot be decoded.
     Fields(#[source] FieldError),
--- a/crates/server/src/protocol/sidecar/mod.rs
+++ b/crates/server/src/protocol/sidecar/mod.rs
@@ -2,22 +2,20 @@
 //! kind (1 byte), a stream (4 bytes) and a payload; integers are big-endian.
 mod request;
 mod response;
+mod streams;
 
 pub use request::Request;
 pub use response::{Response, RunOutput};
 
 use super::{FieldError, ProtocolError, ReadBuffer, RequestError};
-use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
+use streams::StreamTracker;
 
 /// Valid values of the length field.
 const FRAME_LENGTH: RangeInclusive<usize> = 5..=262_144;
 /// Size of the length field.
 const LENGTH_BYTES: usize = 4;
-/// Maximum number of used stream numbers that are stored because lower ones are still unused. Beyond it, all numbers up
-/// to the lowest stored one count as used. This limits the memory for stream numbers that come out of order.
-const MAX_STREAMS_AHEAD: usize = 1_024;
 
 const REQUEST: u8 = 1;
 const RESPONSE: u8 = 2;
@@ -65,10 +63,7 @@
 pub struct Decoder {
     settings: Rc<DecoderSettings>,
     buffer: ReadBuffer,
-    /// All stream numbers up to this one count as used.
-    used_through: u32,
-    /// Used stream numbers above `used_through`.
-    used_ahead: BTreeSet<u32>,
+    streams: StreamTracker,
 }
 
 impl Decoder {
@@ -77,8 +72,7 @@
         Decoder {
             settings,
             buffer: ReadBuffer::default(),
-            used_through: 0,
-            used_ahead: BTreeSet::new(),
+            streams: StreamTracker::default(),
         }
     }
 
@@ -92,6 +86,16 @@
         self.buffer.len()
     }
 
+    /// Records that the request on this stream is answered.
+    pub fn close_stream(&mut self, stream: StreamId) {
+        self.streams.close(stream.0);
+    }
+
+    /// Number of requests that were decoded and are not answered.
+    pub fn open_streams(&self) -> usize {
+        self.streams.open_count()
+    }
+
     /// The next frame, once it is complete. After an error nothing more can be decoded.
     pub fn next_frame(&mut self) -> Result<Option<Frame>, ProtocolError> {
         let rest = self.buffer.rest();
@@ -120,24 +124,11 @@
             _ => return Err(ProtocolError::UnknownFrameKind),
         };
         self.buffer.consume(LENGTH_BYTES + length);
-        if kind == REQUEST && !self.mark_used(stream.0) {
+        if kind == REQUEST && !self.streams.open(stream.0) {
             return Err(ProtocolError::StreamReused);
         }
         Ok(Some(frame))
     }
-
-    /// Marks a stream number as used; returns false if it was used before.
-    fn mark_used(&mut self, stream: u32) -> bool {
-        if stream <= self.used_through || !self.used_ahead.insert(stream) {
-            return false;
-        }
-        while self.used_ahead.len() > MAX_STREAMS_AHEAD
-            || self.used_ahead.first() == Some(&(self.used_through + 1))
-        {
-            self.used_through = self.used_ahead.pop_first().unwrap_or(self.used_through);
-        }
-        true
-    }
 }
 
 /// Names and values of a payload, in order.
--- a/crates/server/src/protocol/sidecar/response.rs
+++ b/crates/server/src/protocol/sidecar/response.rs
@@ -64,17 +64,19 @@
 }
 
 impl Response {
-    /// Whether it is the final response to a request.
-    pub fn settles_request(&self) -> bool {
-        matches!(
-            self,
-            Response::Completed(..) | Response::Rejected { .. } | Response::Failed(_)
-        )
+    /// The stream of the request whose final response it is; `None` for any other frame.
+    pub fn settled_stream(&self) -> Option<StreamId> {
+        match self {
+            Response::Completed(stream, _)
+            | Response::Rejected { stream, .. }
+            | Response::Failed(stream) => Some(*stream),
+            _ => None,
+        }
     }
 
     /// Whether it answers a request or a health check.
     pub fn is_answer(&self) -> bool {
-        self.settles_request() || matches!(self, Response::HealthStatus { .. })
+        self.settled_stream().is_some() || matches!(self, Response::HealthStatus { .. })
     }
 
     /// Appends the encoded frame. `advice` is the load advice, which tells the sidecar how much to send to this server
--- a/crates/server/tests/connection_close.rs
+++ b/crates/server/tests/connection_close.rs
@@ -6,7 +6,7 @@
 
 use cottondyke::connection::reader::{self, ConnectionContext};
 use cottondyke::event::{ConnectionId, Event, Outgoing};
-use cottondyke::protocol::sidecar::DecoderSettings;
+use cottondyke::protocol::sidecar::{DecoderSettings, StreamId};
 use cottondyke::resource_limits::ResourceLimits;
 use cottondyke_test_support::fakes::{
     encode_frame, encode_payload, unix_ms, FakeSidecar, IO_TIMEOUT,
@@ -90,7 +90,7 @@
         self.outgoing
             .try_send(Outgoing::Response {
                 bytes,
-                settles_request: true,
+                settles: Some(StreamId(stream)),
             })
             .unwrap();
     }
--- a/crates/server/tests/dispatcher.rs
+++ b/crates/server/tests/dispatcher.rs
@@ -238,7 +238,7 @@
                     matches!(
                         message,
                         Outgoing::Response {
-                            settles_request: true,
+                            settles: Some(_),
                             ..
                         }
                     )
--- a/crates/server/tests/protocol.rs
+++ b/crates/server/tests/protocol.rs
@@ -205,8 +205,7 @@
     }
 }
 
-/// Guards against a stream number that is used twice, in whatever order the numbers come, and against unbounded memory
-/// for used numbers: past a limit, the lowest unused numbers count as used.
+/// Guards against a stream number that is used twice, in whatever order the numbers come.
 #[test]
 fn refuses_a_stream_that_is_used_twice() {
     let is_accepted = |numbers: &[u32]| {
@@ -232,6 +231,52 @@
     assert!(is_accepted(&odd) && !is_accepted(&[&odd[..], &[3]].concat()));
 }
 
+/// Guards sound connections whose stream numbers do not count up by one: past 1,024 of them, new numbers were taken for
+/// used ones and the connection ended.
+#[test]
+fn accepts_new_streams_in_any_order() {
+    const COUNT: u32 = 5_000;
+    const MAX_OPEN: usize = 32;
+    let seed = fastrand::u64(..);
+    let mut shuffled: Vec<u32> = (1..=COUNT).map(|n| n * 7_919).collect();
+    fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+    let orders: [(&str, Vec<u32>); 5] = [
+        ("up", (1..=COUNT).collect()),
+        ("down", (1..=COUNT).rev().map(|n| n * 2).collect()),
+        ("gaps", (1..=COUNT).map(|n| n * 2).collect()),
+        (
+            "workers",
+            (0..COUNT)
+                .map(|n| ((n % 100) << 24) + n / 100 + 1)
+                .collect(),
+        ),
+        ("shuffled", shuffled),
+    ];
+    for (name, numbers) in orders {
+        let mut decoder = sidecar::Decoder::new(decoder_settings());
+        let mut open = std::collections::VecDeque::new();
+        for number in numbers {
+            decoder.feed(&encode_frame(1, number, &encode_payload(&[], b"")));
+            let frame = decoder.next_frame();
+            assert!(
+                matches!(frame, Ok(Some(_))),
+                "{name}, seed {seed}: {number}: {frame:?}"
+            );
+            open.push_back(StreamId(number));
+            if open.len() > MAX_OPEN {
+                decoder.close_stream(open.pop_front().unwrap());
+            }
+            assert_eq!(decoder.open_streams(), open.len());
+        }
+        let oldest_open = open.front().unwrap().0;
+        decoder.feed(&encode_frame(1, oldest_open, &encode_payload(&[], b"")));
+        assert!(
+            decoder.next_frame().is_err(),
+            "{name}, seed {seed}: an open stream used twice"
+        );
+    }
+}
+
 #[test]
 fn decodes_the_same_engine_messages_when_split_anywhere() {
     let bytes = b"HELLO starting 12.5\r\nNOTE 1 odd DONE 3\r\nNEED 2 9b1f03aa5c7e2d41 4\r\n\r\n\r\n\r\n\
