Run no id twice, and nothing of a client that has left

Cause: an id was known only while its request was in flight. A queued keyed request whose client had left still ran, though no duplicate waited for it. Change: RecentIds remembers the ids of runs that may have begun, for the longest dedup window or client timeout, within the memory that may be retained; a copy fails. A keyed request whose connection ends goes on only if a run of it may have begun or a duplicate waits. A reader discards what is left on a connection that poll(2) reports as reset.

--- a/crates/server/src/connection/reader.rs
+++ b/crates/server/src/connection/reader.rs
@@ -234,6 +234,9 @@
             },
             Frame::Cancel(stream) => Event::Cancelled(id, stream),
         };
+        if socket_io::is_broken(self.stream.get_ref()) {
+            return Some(ReadEnd::Broken);
+        }
         progress.events_read.set(progress.events_read.get() + 1);
         let sent = self.context.events.send(event).await;
         sent.is_err().then_some(ReadEnd::HalfClosed)
--- a/crates/server/src/dispatcher/actions.rs
+++ b/crates/server/src/dispatcher/actions.rs
@@ -121,6 +121,7 @@
             return;
         };
         request.is_running = true;
+        request.has_run = true;
         let times = self.config.times[request.arrival.handler.0];
         let execution = ExecutionRequest {
             wire_id: request.wire_id,
--- a/crates/server/src/dispatcher/arrivals.rs
+++ b/crates/server/src/dispatcher/arrivals.rs
@@ -12,7 +12,7 @@
 
 /// Tolerance that the protocol grants on every time limit where it is spoken over sockets. Dedup windows are extended
 /// by it, so that no duplicate is missed.
-const TIME_LIMIT_SLACK: Time = Time(500);
+pub(super) const TIME_LIMIT_SLACK: Time = Time(500);
 
 /// A request that was read.
 pub(super) struct ReceivedRequest {
@@ -48,8 +48,8 @@
             self.counters.invalid += 1;
             return;
         }
-        if self.requests.contains_wire_id(request.id) {
-            tracing::debug!(connection = connection.0, id = ?request.id, "request id already in flight");
+        if self.requests.contains_wire_id(request.id) || self.recent_ids.contains(request.id) {
+            tracing::debug!(connection = connection.0, id = ?request.id, "request id already in use");
             self.counters.invalid += 1;
             let (connection, stream) = self.resolve_id_conflict(connection, request);
             self.connections
@@ -184,6 +184,7 @@
             body: request.body.into(),
             is_answered: false,
             is_running: false,
+            has_run: false,
             is_overdue: false,
             coalesced_with: None,
         };
@@ -256,6 +257,7 @@
             return;
         };
         request.is_running = false;
+        request.has_run = false;
         request.is_overdue = false;
         request.coalesced_with = None;
         let delay = now - request.arrived;
@@ -288,22 +290,44 @@
         }
     }
 
+    /// Whether the result of a request may answer others than its own caller: it has an idempotency key, and it runs or
+    /// others wait for it.
+    fn is_of_use_to_duplicates(&self, id: RequestId) -> bool {
+        let Some(request) = self
+            .requests
+            .get(id)
+            .filter(|request| request.key.is_some())
+        else {
+            return false;
+        };
+        let mut others = self.requests.values();
+        request.has_run || others.any(|other| other.coalesced_with == Some(id))
+    }
+
     /// Handles the end of a connection. Nobody reads its outstanding responses: the admission controller is told that
-    /// the callers of its unanswered requests are gone. A request with an idempotency key continues, for its
-    /// duplicates.
+    /// the callers of its unanswered requests are gone. A request with an idempotency key continues for its duplicates,
+    /// if a run of it has begun or a duplicate waits for it.
     pub(super) fn handle_connection_closed(&mut self, now: Time, connection: ConnectionId) {
         self.connections.remove(connection);
         let open = self
             .requests
-            .ids_where(|request| request.connection == connection && request.is_open_without_key());
+            .ids_where(|request| request.connection == connection && !request.is_answered);
+        let (mut dropped, mut continued) = (0, 0);
+        for id in open {
+            if self.is_of_use_to_duplicates(id) {
+                continued += 1;
+            } else {
+                dropped += 1;
+                self.dedup.release(id);
+                self.handle_caller_gone(now, id, StreamId(0));
+            }
+        }
         tracing::debug!(
             connection = connection.0,
-            dropped = open.len(),
+            dropped,
+            continued,
             "connection closed"
         );
-        for id in open {
-            self.handle_caller_gone(now, id, StreamId(0));
-        }
     }
 
     fn handle_caller_gone(&mut self, now: Time, id: RequestId, stream: StreamId) {
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -31,6 +31,7 @@
 use crate::memory_budget::MemoryCharge;
 use crate::protocol::sidecar::{Response, StreamId};
 use crate::protocol::{ProtocolError, RequestError};
+use crate::recent_ids::RecentIds;
 use crate::resource_limits::ResourceLimits;
 use arrivals::ReceivedRequest;
 use async_channel::{Receiver, Sender};
@@ -83,7 +84,8 @@
     cluster: Option<Rc<ClusterDriver>>,
     limits: Rc<ResourceLimits>,
     dedup: DedupTable,
-    /// The memory of `dedup`.
+    recent_ids: RecentIds,
+    /// The memory of `dedup` and `recent_ids`.
     retained_memory: MemoryCharge,
     health: HealthChecker,
     cpu: CpuSampler,
@@ -130,6 +132,7 @@
             retained_memory: parts.limits.memory().open_account().charge(0),
             limits: parts.limits,
             dedup: DedupTable::default(),
+            recent_ids: RecentIds::default(),
             health: HealthChecker::default(),
             cpu: CpuSampler::start(),
             core_wait: CoreWaitSampler::default(),
--- a/crates/server/src/dispatcher/outcomes.rs
+++ b/crates/server/src/dispatcher/outcomes.rs
@@ -98,7 +98,8 @@
 
     /// Records that the engine does not recognize a request, and returns the requests that were coalesced with it.
     fn record_not_started(&mut self, id: RequestId) -> Vec<RequestId> {
-        if let Some(request) = self.requests.get(id) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.has_run = false;
             self.connections.mark_unrecognized(request.connection);
         }
         self.detach_coalesced(id)
@@ -222,6 +223,15 @@
         }
     }
 
+    /// Removes a request that is answered and does not run. If it may have run, its id is remembered.
+    fn remove_request(&mut self, now: Time, id: RequestId) {
+        let request = self.requests.remove(id);
+        if let Some(request) = request.filter(|request| request.has_run) {
+            let until = now + self.id_retention();
+            self.recent_ids.insert(request.wire_id, until);
+        }
+    }
+
     /// Sends the final response, unless one was sent already.
     pub(super) fn answer(&mut self, now: Time, id: RequestId, response: Response) {
         let Some(request) = self.requests.get_mut(id) else {
@@ -238,7 +248,7 @@
         if request.is_running {
             self.executors.mark_answered(id);
         } else {
-            self.requests.remove(id);
+            self.remove_request(now, id);
         }
     }
 }
--- a/crates/server/src/dispatcher/requests.rs
+++ b/crates/server/src/dispatcher/requests.rs
@@ -26,6 +26,8 @@
     pub(super) is_answered: bool,
     /// Whether its run has started and not ended, also while the run waits for a call.
     pub(super) is_running: bool,
+    /// Whether a run of it may have begun: its id must not run again.
+    pub(super) has_run: bool,
     /// Whether its run continues long after it was answered, and the admission controller was told so.
     pub(super) is_overdue: bool,
     /// The request whose response it waits for.
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`clock`], [`backoff`], [`socket_io`], [`tasks`], [`log_output`], [`descriptor_table`], [`protocol`] (encoding and decoding of messages),
 //!   [`memory_budget`], [`unverified_quota`], [`connection_account`], [`config`] and [`event`] (the inputs of the dispatcher);
-//! - [`resource_limits`], [`cpu_usage`], [`shutdown`], [`health_check`], [`dedup`], [`signal`];
+//! - [`resource_limits`], [`cpu_usage`], [`shutdown`], [`health_check`], [`dedup`], [`recent_ids`], [`signal`];
 //! - [`connection`], [`listener`], [`outbound`], [`load_report`], [`cluster`], [`execution`];
 //! - [`dispatcher`], the sole owner of the admission controller, the in-flight requests and the timers;
 //! - [`app`], which assembles and runs the server.
@@ -30,6 +30,7 @@
 pub mod memory_budget;
 pub mod outbound;
 pub mod protocol;
+pub mod recent_ids;
 pub mod resource_limits;
 pub mod shutdown;
 pub mod signal;
--- a/crates/server/src/socket_io.rs
+++ b/crates/server/src/socket_io.rs
@@ -4,6 +4,7 @@
 //! on, and so does the `AsyncRead` and `AsyncWrite` implementation of its sockets. Here the call is made again, so that
 //! an interruption never looks like a broken connection.
 use async_io::Async;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -80,6 +81,19 @@
     retry_interrupted(|| stream.peek(&mut [0]))
 }
 
+/// Whether a connection is reset or closed in both directions, so that nothing that is written reaches the peer. A peer
+/// that has only stopped sending may still read.
+pub fn is_broken(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::empty())];
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    let count = retry_interrupted(|| Ok(poll(&mut polled, Some(&no_wait))?));
+    let broken = PollFlags::HUP | PollFlags::ERR;
+    count.is_ok() && polled[0].revents().intersects(broken)
+}
+
 /// Waits until some of the bytes can be written and returns their number, which is never 0.
 pub async fn write(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
     let write = |mut stream: &TcpStream| retry_interrupted(|| stream.write(bytes));
--- a/crates/server/tests/serve/main.rs
+++ b/crates/server/tests/serve/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the server's binary against fakes on loopback.
 mod aggregations;
 mod connections;
+mod departures;
 mod engine;
 mod fleet;
 mod idempotency;
