Keep connections whose requests wait for a turn; refuse excess by slots

Change: a frame counts as read before it waits; 4 KiB of buffer are always granted; a request beyond the 32 open ones uses a slot like an invalid one. A request that the engine ends as late no longer puts its connection among the unknown ones.

--- a/crates/server/src/connection/reader.rs
+++ b/crates/server/src/connection/reader.rs
@@ -21,10 +21,10 @@
 const MAX_PENDING_RESPONSES: usize = 4 * MAX_IN_FLIGHT;
 /// Maximum number of frames that are decoded before other connections have their turn.
 const MAX_FRAMES_PER_TURN: usize = 32;
-/// Bytes that may be read however little memory is free: a small part of what an account may always hold.
-const MIN_READ_BYTES: usize = 2_048;
-/// Nothing is read from a connection for this long after a request beyond `MAX_IN_FLIGHT`, which no sidecar sends.
-const EXCESS_DELAY: Duration = Duration::from_millis(40);
+/// Size of the decoder's buffer that is granted however little memory is free, and of reads then: the largest sound
+/// request fits, so that no sound connection is ended for want of memory.
+const MIN_BUFFER_BYTES: usize = 4_096;
+const MIN_READ_BYTES: usize = 1_024;
 /// Maximum time from the opening of the connection, or from the first byte of a frame, to the last byte of that frame.
 const FRAME_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Lingering close: after the server has shut down its write half, it reads and discards what the peer still sends.
@@ -157,6 +157,8 @@
             if count == 0 || self.writer_queue.is_closed() {
                 return Ok(ReadEnd::HalfClosed);
             }
+            // Until all of it is decoded: frames that wait for their turn keep the connection open.
+            self.progress.has_partial_frame.set(true);
             self.charge_buffer()?;
             let mut frames = 0;
             while let Some(frame) = self.next_frame()? {
@@ -220,11 +222,13 @@
     /// connection is broken. What is still unread then is discarded, since nobody reads its answers.
     async fn forward(&self, frame: Frame) -> Option<ReadEnd> {
         let (id, progress) = (self.id, self.progress);
+        // Before the request waits for its turn, so that the connection is not closed meanwhile.
+        progress.events_read.set(progress.events_read.get() + 1);
         let event = match frame {
             Frame::Request(request) => self.receive_request(request).await,
             Frame::InvalidRequest(stream, error) => {
                 self.account.set_verified(false);
-                self.account.request_turn().await;
+                self.account.wait_to_refuse().await;
                 Event::InvalidRequest(id, stream, error)
             }
             Frame::HealthCheck { stream, deep } => Event::HealthCheck {
@@ -237,7 +241,6 @@
         if socket_io::is_broken(self.stream.get_ref()) {
             return Some(ReadEnd::Broken);
         }
-        progress.events_read.set(progress.events_read.get() + 1);
         let sent = self.context.events.send(event).await;
         sent.is_err().then_some(ReadEnd::HalfClosed)
     }
@@ -246,7 +249,7 @@
     async fn receive_request(&self, request: Request) -> Event {
         let (id, stream) = (self.id, request.stream);
         if self.decoder.open_streams() > MAX_IN_FLIGHT {
-            Timer::after(EXCESS_DELAY).await;
+            self.account.wait_to_refuse().await;
             return Event::ExcessRequest(id, stream);
         }
         let slot = match self.account.request_turn().await {
@@ -262,10 +265,13 @@
 
     /// Counts the memory of the decoder's buffer.
     fn charge_buffer(&mut self) -> Result<(), ProtocolError> {
-        match self.buffer_memory.try_set(self.decoder.buffer_bytes()) {
-            true => Ok(()),
-            false => Err(ProtocolError::FrameBufferFull),
+        let bytes = self.decoder.buffer_bytes();
+        if bytes <= MIN_BUFFER_BYTES {
+            self.buffer_memory.set(bytes);
+        } else if !self.buffer_memory.try_set(bytes) {
+            return Err(ProtocolError::FrameBufferFull);
         }
+        Ok(())
     }
 
     /// Limits the time that an incomplete frame may take.
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -122,14 +122,6 @@
         }
     }
 
-    /// Records that the last request of this connection was one that the engine does not recognize. The connection stays
-    /// verified, but its requests are read in turn with those of unknown clients.
-    pub fn mark_unrecognized(&mut self, id: ConnectionId) {
-        if let Some(connection) = self.connections.get(&id) {
-            connection.account.set_verified(false);
-        }
-    }
-
     /// Whether this connection is verified.
     pub fn is_verified(&self, id: ConnectionId) -> bool {
         self.connections.get(&id).is_some_and(|c| c.is_verified)
--- a/crates/server/src/connection_account.rs
+++ b/crates/server/src/connection_account.rs
@@ -35,7 +35,7 @@
         &self.memory
     }
 
-    /// Sets whether the client's last request was one that the engine recognizes.
+    /// Sets whether the client is known: the engine has recognized a request of it, and none was invalid since.
     pub fn set_verified(&self, is_verified: bool) {
         self.is_verified.set(is_verified);
     }
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Waits before a request is refused that no sidecar sends: within the quota not at all, beyond it as long as a
+    /// request waits for a slot. So clients that send at full speed are refused at a bounded rate.
+    pub async fn wait_to_refuse(&self) {
+        drop(self.quota.acquire().await);
+    }
+
     /// Reserves the memory that a request and its answer need; `None` if there is not enough.
     pub fn reserve(&self, request: &Request) -> Option<MemoryCharge> {
         let key_bytes = request.idempotency_key.as_ref().map_or(0, |key| key.len());
--- a/crates/server/src/dispatcher/outcomes.rs
+++ b/crates/server/src/dispatcher/outcomes.rs
@@ -96,11 +96,10 @@
         None
     }
 
-    /// Records that the engine does not recognize a request, and returns the requests that were coalesced with it.
+    /// Records that no run of a request has begun, and returns the requests that were coalesced with it.
     fn record_not_started(&mut self, id: RequestId) -> Vec<RequestId> {
         if let Some(request) = self.requests.get_mut(id) {
             request.has_run = false;
-            self.connections.mark_unrecognized(request.connection);
         }
         self.detach_coalesced(id)
     }
--- a/crates/server/src/memory_budget.rs
+++ b/crates/server/src/memory_budget.rs
@@ -10,8 +10,7 @@
 /// The counted bytes may take the memory limit divided by this. The rest is for the program, for the fixed part of
 /// connections and for what the allocator adds.
 const LIMIT_DIVISOR: usize = 2;
-/// What each account may hold however little is free, in bytes: the largest sound request, so that a sound connection is
-/// never ended for want of memory.
+/// What each account may hold however little is free, in bytes: one request of the usual size.
 const MIN_ACCOUNT_BYTES: usize = 8_192;
 
 /// The owner of the total.
--- a/crates/server/src/unverified_quota.rs
+++ b/crates/server/src/unverified_quota.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Number of slots; each unanswered request of an unknown client uses one.
-const SLOTS: usize = 128;
+pub const SLOTS: usize = 128;
 /// Longest time that a request uses a slot, so that new sidecars are admitted while the server is slow to answer.
 const MAX_USE: Duration = Duration::from_millis(50);
 /// Time until the slot of a request that was answered without a result can be used again. It bounds the work that
--- a/crates/server/tests/connection_close.rs
+++ b/crates/server/tests/connection_close.rs
@@ -5,9 +5,11 @@
 use async_io::{Async, Timer};
 
 use cottondyke::connection::reader::{self, ConnectionContext};
+use cottondyke::connection_account::Turn;
 use cottondyke::event::{ConnectionHandle, ConnectionId, Event, Outgoing};
 use cottondyke::protocol::sidecar::{DecoderSettings, StreamId};
 use cottondyke::resource_limits::ResourceLimits;
+use cottondyke::unverified_quota::SLOTS;
 use cottondyke_test_support::fakes::{
     encode_frame, encode_payload, unix_ms, FakeSidecar, IO_TIMEOUT,
 };
@@ -227,6 +229,29 @@
     });
 }
 
+/// Guards a request that waits for its turn among those of unknown clients when its connection is to be closed as idle:
+/// it has been read, so it is passed on and the connection stays open.
+#[test]
+fn keeps_the_connection_when_a_request_waits_for_its_turn() {
+    Rig::run(8, None, |mut rig| async move {
+        let mut slots = Vec::new();
+        for _ in 0..SLOTS {
+            slots.push(rig.handle.account.request_turn().await);
+        }
+        assert!(matches!(slots.last(), Some(Turn::Unverified(_))));
+        rig.send_request(1);
+        rig.run_until_stalled().await;
+        rig.close(0);
+        rig.run_until_stalled().await;
+        let next = rig.events.recv().await;
+        assert!(matches!(
+            next,
+            Ok(Event::Request(..) | Event::OverQuota(..))
+        ));
+        assert!(rig.is_open());
+    });
+}
+
 /// Guards sidecars on slow links: a sidecar that keeps reading is not cut off, even if the whole response takes longer
 /// than the write timeout.
 #[test]
