Do not slow down known clients that exceed their 32 open requests

Cause: such a client had to wait for a slot before each refusal, so its other requests were read late. Suspected and not shown: the admission controller took their age for the server's delay. Change: only unknown clients wait before a refusal.

--- a/crates/server/src/connection_account.rs
+++ b/crates/server/src/connection_account.rs
@@ -51,10 +51,11 @@
         }
     }
 
-    /// Waits before a request is refused that no sidecar sends: within the quota not at all, beyond it as long as a
-    /// request waits for a slot. So clients that send at full speed are refused at a bounded rate.
+    /// Waits before a request is refused that no sidecar sends, unless the client is known: within the quota not at all,
+    /// beyond it as long as a request waits for a slot. So unknown clients at full speed are refused at a bounded rate.
+    /// A known client is not slowed down: requests that it sends late would count as read late by the server.
     pub async fn wait_to_refuse(&self) {
-        drop(self.quota.acquire().await);
+        drop(self.request_turn().await);
     }
 
     /// Reserves the memory that a request and its answer need; `None` if there is not enough.
