--- a/crates/server/src/unverified_quota.rs
+++ b/crates/server/src/unverified_quota.rs
@@ -16,8 +16,7 @@
 /// Time until the slot of a request that was answered without a result can be used again. It bounds the work that
 /// clients cause which send again as soon as they are refused.
 const REFUSED_DELAY: Duration = Duration::from_millis(40);
-/// Longest time that a request waits for a slot. Every slot comes free in this time, so nothing is refused while no more
-/// connections wait than there are slots.
+/// Longest time that a request waits for a slot.
 const MAX_WAIT: Duration = MAX_USE;
 
 /// A place for one request.
