Log the build, the process's memory and the reason for each close

The log of a process that passed its memory limit named no build, only the engine's memory, and one number for all connections closed for a violation, so hypotheses could not be told apart.

`serving` names version and commit (of the build's repository, else `unknown`), memory limit and connections; `process memory` gives resident memory, what callers hold and open connections whenever it has changed by a 32nd of the limit; `invalid input` counts the closes by reason.

--- a/crates/server/src/app.rs
+++ b/crates/server/src/app.rs
@@ -23,6 +23,8 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
+const BYTES_PER_KB: usize = 1 << 10;
+
 /// Why the server could not start or had to stop.
 #[derive(Debug, thiserror::Error)]
 pub enum AppError {
@@ -103,7 +105,15 @@
 
 fn log_start(config: &Config, listener: &Async<TcpListener>) {
     let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
-    tracing::info!(name = config.name, %listen, "serving");
+    tracing::info!(
+        version = env!("CARGO_PKG_VERSION"),
+        commit = env!("COTTONDYKE_COMMIT"),
+        memory_kb = config.memory_bytes / BYTES_PER_KB,
+        max_connections = config.max_connections,
+        name = config.name,
+        %listen,
+        "serving"
+    );
 }
 
 fn bind(addr: SocketAddr) -> Result<Async<TcpListener>, AppError> {
--- a/crates/server/src/dispatcher/counters.rs
+++ b/crates/server/src/dispatcher/counters.rs
@@ -1,11 +1,14 @@
 //! Failures of the last second, logged in at most one line of each kind, whatever their number.
 use crate::clock::to_ms;
 use crate::execution::engine::EngineCounters;
+use crate::protocol::ProtocolError;
 use cottondyke_admission::{AdmissionStatus, Rule, RuleFiring};
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
+const BYTES_PER_KB: usize = 1 << 10;
+
 /// How often each rule fired that answers a request without a result.
 #[derive(Default)]
 pub(super) struct RuleCounts(BTreeMap<Rule, u64>);
@@ -34,6 +37,40 @@
     }
 }
 
+/// How often connections were closed for each violation of the protocol.
+#[derive(Default)]
+pub(super) struct ViolationCounts(BTreeMap<&'static str, u64>);
+
+impl ViolationCounts {
+    pub(super) fn add(&mut self, error: ProtocolError) {
+        *self.0.entry(error.message()).or_default() += 1;
+    }
+}
+
+/// `no whole frame in time=12, a frame of unknown type=1`; empty if there was none.
+impl Display for ViolationCounts {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for (index, (reason, count)) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { ", " };
+            write!(formatter, "{separator}{reason}={count}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What callers make the process hold, beside the memory that the kernel counts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MemoryStatus {
+    /// Resident memory of the process; `None` if the kernel does not report it.
+    pub(super) resident_bytes: Option<usize>,
+    /// The memory limit of the process.
+    pub(super) limit_bytes: usize,
+    /// What the memory budget counts.
+    pub(super) held_bytes: usize,
+    /// Open connections, including those that are closing.
+    pub(super) connections: usize,
+}
+
 #[derive(Default)]
 pub(super) struct LogCounters {
     /// Requests that could not be run: invalid ones, ids that are already in flight, duplicates on unverified
@@ -45,6 +82,8 @@
     pub(super) over_memory: u64,
     /// Connections that broke the protocol.
     pub(super) malformed: u64,
+    /// How they broke it.
+    pub(super) violations: ViolationCounts,
     /// Requests that the admission controller failed before their run ended.
     pub(super) failed: u64,
     /// Requests that the admission controller rejected.
@@ -65,6 +104,7 @@
             over_quota,
             over_memory,
             malformed,
+            violations,
             failed,
             rejected,
             by_rule,
@@ -82,6 +122,7 @@
                 invalid,
                 malformed,
                 refused,
+                violations = %violations,
                 "invalid input in the last second"
             );
         }
@@ -124,6 +165,18 @@
     );
 }
 
+/// Logs the memory of the process.
+pub(super) fn log_memory(status: MemoryStatus) {
+    let to_kb = |bytes: usize| bytes / BYTES_PER_KB;
+    tracing::info!(
+        resident_kb = status.resident_bytes.map(to_kb),
+        limit_kb = to_kb(status.limit_bytes),
+        held_kb = to_kb(status.held_bytes),
+        connections = status.connections,
+        "process memory"
+    );
+}
+
 /// Logs that the machine had no core for the serving thread, and how much earlier than their deadlines requests are
 /// answered for this reason.
 pub(super) fn log_core_wait(core_wait: Duration, status: AdmissionStatus) {
--- a/crates/server/src/dispatcher/mod.rs
+++ b/crates/server/src/dispatcher/mod.rs
@@ -109,6 +109,8 @@
     next_log: Time,
     /// How many log lines had been dropped at the last check.
     dropped_lines: usize,
+    /// The resident memory that was logged last, in bytes.
+    logged_resident_bytes: usize,
     /// When the shutdown signal was received.
     shutdown_at: Option<Time>,
 }
@@ -148,6 +150,7 @@
             next_maintenance: now,
             next_log: now,
             dropped_lines: 0,
+            logged_resident_bytes: 0,
             shutdown_at: None,
         }
     }
@@ -280,6 +283,7 @@
     fn handle_protocol_error(&mut self, now: Time, connection: ConnectionId, error: ProtocolError) {
         tracing::debug!(connection = connection.0, %error, "malformed frame; closing the connection");
         self.counters.malformed += 1;
+        self.counters.violations.add(error);
         self.connections.close_with_error(now, connection, error);
     }
 }
--- a/crates/server/src/dispatcher/timers.rs
+++ b/crates/server/src/dispatcher/timers.rs
@@ -1,8 +1,9 @@
 //! Timers: ticks of the admission controller, timeouts of health checks and load queries, maintenance.
-use super::counters::{log_core_wait, log_status};
+use super::counters::{log_core_wait, log_memory, log_status, MemoryStatus};
 use super::RequestDispatcher;
 use crate::execution::engine::EngineExecutor;
 use crate::log_output::dropped_lines;
+use crate::process_memory;
 use crate::shutdown::ShutdownPhase;
 use cottondyke_admission::LoadSample;
 use cottondyke_types::{Time, SECOND};
@@ -17,6 +18,9 @@
 /// If the serving thread waited longer than this for a core in one `LOG_INTERVAL`, it is logged.
 const LOGGED_CORE_WAIT: Duration = Duration::from_millis(200);
 
+/// The memory of the process is logged when it has changed by this fraction of its limit since it was logged last.
+const LOGGED_MEMORY_CHANGE: f64 = 1.0 / 32.0;
+
 impl RequestDispatcher {
     pub(super) fn next_timer(&self) -> Time {
         let timers = [
@@ -121,9 +125,25 @@
             log_core_wait(core_wait, status);
         }
         counters.log(engine);
+        self.log_memory_change();
         self.log_dropped_lines();
     }
 
+    fn log_memory_change(&mut self) {
+        let status = MemoryStatus {
+            resident_bytes: process_memory::resident_bytes(),
+            limit_bytes: self.config.memory_bytes,
+            held_bytes: self.limits.memory().held_bytes(),
+            connections: self.limits.connections().open,
+        };
+        let resident = status.resident_bytes.unwrap_or(0);
+        let change = resident.abs_diff(self.logged_resident_bytes);
+        if change as f64 >= status.limit_bytes as f64 * LOGGED_MEMORY_CHANGE {
+            self.logged_resident_bytes = resident;
+            log_memory(status);
+        }
+    }
+
     fn log_dropped_lines(&mut self) {
         let dropped = dropped_lines();
         if dropped > self.dropped_lines {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! Modules by layer, lowest first; no module imports one that is listed after it:
 //!
-//! - [`clock`], [`backoff`], [`socket_io`], [`tasks`], [`log_output`], [`descriptor_table`], [`protocol`] (encoding and decoding of messages),
-//!   [`memory_budget`], [`unverified_quota`], [`connection_account`], [`config`] and [`event`] (the inputs of the dispatcher);
+//! - [`clock`], [`backoff`], [`socket_io`], [`tasks`], [`log_output`], [`descriptor_table`], [`process_memory`],
+//!   [`protocol`] (encoding and decoding of messages), [`memory_budget`], [`unverified_quota`], [`connection_account`], [`config`] and [`event`] (the inputs of the dispatcher);
 //! - [`resource_limits`], [`cpu_usage`], [`shutdown`], [`health_check`], [`dedup`], [`recent_ids`], [`signal`];
 //! - [`connection`], [`listener`], [`outbound`], [`load_report`], [`cluster`], [`execution`];
 //! - [`dispatcher`], the sole owner of the admission controller, the in-flight requests and the timers;
@@ -29,6 +29,7 @@
 pub mod log_output;
 pub mod memory_budget;
 pub mod outbound;
+pub mod process_memory;
 pub mod protocol;
 pub mod recent_ids;
 pub mod resource_limits;
