--- a/crates/server/tests/hostile_clients/attack.rs
+++ b/crates/server/tests/hostile_clients/attack.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Kind {
     /// Writes a large request in pieces, with pauses.
     WritesSlowly,
+    /// Writes a part of a large request slowly, closes the connection and comes back.
+    WritesPart,
     /// Writes half of a large request and waits.
     StopsHalfWay,
     /// Sends requests whose heads have as many fields as the protocol allows, at full speed.
@@ -51,8 +53,9 @@
 }
 
 /// Every kind.
-pub(crate) const ALL_KINDS: [Kind; 9] = [
+pub(crate) const ALL_KINDS: [Kind; 10] = [
     Kind::WritesSlowly,
+    Kind::WritesPart,
     Kind::StopsHalfWay,
     Kind::ManyFields,
     Kind::NoKnownFields,
@@ -152,7 +155,7 @@
             self.connection = Some(connection);
             return Ok(false);
         }
-        if matches!(self.kind, Kind::LeavesAnswersUnread) && connection.batches > 0 {
+        if self.closes_after(&connection) {
             return Ok(false);
         }
         match self.kind {
@@ -170,15 +173,28 @@
         Ok(has_written)
     }
 
+    /// Whether the client closes the connection now. The next step opens a new one.
+    fn closes_after(&self, connection: &Connection) -> bool {
+        let has_sent = connection.batches > 0;
+        match self.kind {
+            Kind::LeavesAnswersUnread => has_sent,
+            Kind::WritesPart => has_sent && connection.pending.is_empty(),
+            _ => false,
+        }
+    }
+
     fn has_more(&self, connection: &Connection) -> bool {
-        let sends_once = matches!(self.kind, Kind::WritesSlowly | Kind::StopsHalfWay);
+        let sends_once = matches!(
+            self.kind,
+            Kind::WritesSlowly | Kind::WritesPart | Kind::StopsHalfWay
+        );
         !sends_once || connection.batches == 0
     }
 
     /// How long the client waits after each step.
     fn pause(&mut self, is_batch_written: bool) -> Duration {
         let millis = match self.kind {
-            Kind::WritesSlowly => self.random.u64(5..40),
+            Kind::WritesSlowly | Kind::WritesPart => self.random.u64(5..40),
             Kind::LeavesAnswersUnread => self.random.u64(0..30),
             Kind::ReadsSlowly => 2,
             Kind::LongKeys if is_batch_written => self.random.u64(50..150),
@@ -193,6 +209,10 @@
         let large = || encode_frame(1, 1, &encode_payload(&[], &[b'x'; LARGE_FRAME_BYTES]));
         match self.kind {
             Kind::WritesSlowly => large(),
+            Kind::WritesPart => {
+                let part = self.random.usize(LARGE_FRAME_BYTES / 8..LARGE_FRAME_BYTES);
+                large()[..part].to_vec()
+            }
             Kind::StopsHalfWay => large()[..LARGE_FRAME_BYTES / 2].to_vec(),
             _ => {
                 let first = connection.next_stream;
--- a/crates/server/tests/hostile_clients/main.rs
+++ b/crates/server/tests/hostile_clients/main.rs
@@ -2,6 +2,7 @@
 //! behaves: the process stays within its memory, and the caller gets its answers in time.
 mod attack;
 mod caller;
+mod memory;
 #[path = "../serve/process.rs"]
 #[expect(
     dead_code,
@@ -23,8 +24,6 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-/// The memory limit of the server, in megabytes.
-const MEMORY_MB: usize = 64;
 const BYTES_PER_MB: usize = 1 << 20;
 const BYTES_PER_KB: usize = 1 << 10;
 /// How long the hostile clients run; `HOSTILE_SECONDS` names another time.
@@ -71,15 +70,34 @@
     })
 }
 
+/// The `limits` of the server's configuration.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+const USUAL_LIMITS: Limits = Limits {
+    memory_mb: 64,
+    sockets: 1_024,
+};
+
 /// What came of an attack.
 struct Outcome {
     seen: Seen,
+    limits: Limits,
+    /// The most memory that the platform counted at one time.
     peak_bytes: usize,
 }
 
+/// Runs these clients beside the caller, with the usual limits.
+fn run(attacks: &[(Kind, u64)], knows_all: bool, seed: u64) -> Outcome {
+    run_within(USUAL_LIMITS, attacks, knows_all, seed)
+}
+
 /// Runs these clients beside the caller. `knows_all` says whether the machine recognizes the requests of the hostile
 /// clients too.
-fn run(attacks: &[(Kind, u64)], knows_all: bool, seed: u64) -> Outcome {
+fn run_within(limits: Limits, attacks: &[(Kind, u64)], knows_all: bool, seed: u64) -> Outcome {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let machine = FakeMachine::start(MACHINE, StartKind::Warm).unwrap();
     machine.set_result_bytes(RESULT_BYTES);
@@ -88,7 +106,8 @@
     }
     let rig = Rig::with(|conf| {
         conf["engine"] = json!(machine.addr().to_string());
-        conf["limits"]["memory_mb"] = json!(MEMORY_MB);
+        conf["limits"]["memory_mb"] = json!(limits.memory_mb);
+        conf["limits"]["sockets"] = json!(limits.sockets);
         conf["settings"]["family_info"]["n_cores"] = json!(MACHINE.cores as u64);
     });
     let mut sidecar = rig.connect_sidecar();
@@ -110,16 +129,20 @@
         .collect();
     let mut peak_bytes = 0;
     while !calling.is_finished() {
-        peak_bytes = peak_bytes.max(rig.status_number("RssAnon:") * BYTES_PER_KB);
+        peak_bytes = peak_bytes.max(rig.status_number("VmRSS:") * BYTES_PER_KB);
         std::thread::sleep(Duration::from_millis(2));
     }
     let seen = calling.join().unwrap();
     println!(
-        "{attacks:?}, known {knows_all}, seed {seed}: {}; at most {} KB of anonymous memory",
+        "{attacks:?}, {limits:?}, known {knows_all}, seed {seed}: {}; at most {} KB of resident memory",
         seen.summary(),
         peak_bytes >> 10
     );
-    Outcome { seen, peak_bytes }
+    Outcome {
+        seen,
+        limits,
+        peak_bytes,
+    }
 }
 
 /// Runs clients whose requests the machine does not recognize, and checks that the process stays within its memory and
@@ -142,11 +165,13 @@
 }
 
 /// Checks that the process has stayed within its memory and that the caller's connection was kept.
-fn check_memory(Outcome { seen, peak_bytes }: &Outcome) {
+fn check_memory(outcome: &Outcome) {
+    let (limits, peak_bytes) = (outcome.limits, outcome.peak_bytes);
     assert!(
-        *peak_bytes <= MEMORY_MB * BYTES_PER_MB,
-        "{peak_bytes} bytes"
+        peak_bytes <= limits.memory_mb * BYTES_PER_MB,
+        "{peak_bytes} bytes with {limits:?}"
     );
+    let seen = &outcome.seen;
     assert_eq!(seen.unanswered, 0, "{}", seen.summary());
 }
 
