Divide the memory limit by what the platform counts, not by half

Cause: the budget gave callers half of the limit and left the other half to what nobody counted and what does not shrink with the limit. Each account and each buffer was also granted some bytes however little was free, times the number of connections.

Now memory_plan subtracts the program (measured at start), the cache and all connections the memory holds, with the bytes granted to each and their kernel buffers, and gives callers two thirds of the rest. Descriptors whose connections do not fit are left out and told at start; a limit too small for the program is an error. The resident memory is compared with the limit each half second; past it callers get no more than they have had. Kernel buffers are bounded. A connection takes 4.8 kB idle: its queue no longer allocates 128 slots, futures are boxed. Clients that the engine does not know get a sixteenth of what is free, so that known ones are served beside them, and a long frame is not copied for each piece that arrives.

The tests of memory failed before and pass: 9.4 MB at 16, 11.4 at 24, 17.5 at 32, 40.4 at 64, 17.0 at 24 with 1,000 clients; with 300 slow readers 59.3 MB before and 11.8 now at 32 (resident and kernel queues). Tests construct ResourceLimits by a plan; the caller of the hostile clients connects again when its connection is closed, and a request sent up to 50 ms before that counts as in transit, as in the protocol and the other soak.

--- a/crates/server/src/app.rs
+++ b/crates/server/src/app.rs
@@ -9,6 +9,8 @@
 use crate::dispatcher::{DispatcherParts, RequestDispatcher};
 use crate::event::{Event, TaskChannels, MAX_PENDING_EVENTS};
 use crate::execution::engine_link;
+use crate::memory_plan::{self, MemoryPlan, SocketBuffers};
+use crate::process_memory;
 use crate::protocol::sidecar::DecoderSettings;
 use crate::resource_limits::ResourceLimits;
 use crate::signal::CaughtSignals;
@@ -50,23 +52,23 @@
 /// Serves until the shutdown is complete. `files` are read again on SIGHUP; `signals` have been caught since before the
 /// files were first read.
 pub fn serve(signals: CaughtSignals, files: ConfigFiles, config: Config) -> Result<(), AppError> {
-    let listener = bind(config.listen)?;
+    let plan = memory_plan(&config)?;
+    let listener = bind(config.listen, plan.socket_buffers)?;
     let clock = Clock::start();
     let admission = config.admission_controller(clock.now())?;
-    let limits = ResourceLimits::new(config.max_connections, config.memory_bytes);
+    let limits = ResourceLimits::new(plan);
     let config = Rc::new(config);
     let (events, pending_events) = async_channel::bounded(MAX_PENDING_EVENTS);
     let (stop_listening, stopped) = async_channel::bounded(1);
     let (report, report_updates) = async_channel::unbounded();
     let (engine_address, address_changes) = async_channel::unbounded();
     let tasks = Rc::new(LocalExecutor::new());
-    log_start(&config, &listener);
+    log_start(&config, plan, &listener);
 
     let context = Rc::new(connection_context(&config, &limits, events.clone()));
     let listener_task = tasks.spawn(listener::listen(tasks.clone(), listener, context, stopped));
-    let engine = config.engine;
-    let engine_task =
-        engine.map(|addr| tasks.spawn(engine_link::run(addr, address_changes, events.clone())));
+    let run_link = |addr| engine_link::run(addr, address_changes, events.clone());
+    let engine_task = config.engine.map(|addr| tasks.spawn(run_link(addr)));
     let name = config.name.clone();
     let control = config.control;
     let report_task = control.map(|addr| tasks.spawn(load_report::run(addr, name, report_updates)));
@@ -103,21 +105,28 @@
     result.map_err(|_| AppError::Panicked)
 }
 
-fn log_start(config: &Config, listener: &Async<TcpListener>) {
+/// Divides the memory limit, before callers take any memory.
+fn memory_plan(config: &Config) -> Result<MemoryPlan, ConfigError> {
+    let resident = process_memory::resident_bytes();
+    config.memory_plan(memory_plan::program_bytes(resident))
+}
+
+fn log_start(config: &Config, plan: MemoryPlan, listener: &Async<TcpListener>) {
     let listen = listener.get_ref().local_addr().unwrap_or(config.listen);
     tracing::info!(
         version = env!("CARGO_PKG_VERSION"),
         commit = env!("COTTONDYKE_COMMIT"),
         memory_kb = config.memory_bytes / BYTES_PER_KB,
-        max_connections = config.max_connections,
+        max_connections = plan.max_connections,
         name = config.name,
         %listen,
         "serving"
     );
+    plan.log_left_out(config.max_connections);
 }
 
-fn bind(addr: SocketAddr) -> Result<Async<TcpListener>, AppError> {
-    listener::bind(addr).map_err(|source| AppError::Listen { addr, source })
+fn bind(addr: SocketAddr, buffers: SocketBuffers) -> Result<Async<TcpListener>, AppError> {
+    listener::bind(addr, buffers).map_err(|source| AppError::Listen { addr, source })
 }
 
 /// The tasks that run alongside the dispatcher.
--- a/crates/server/src/config/capacity.rs
+++ b/crates/server/src/config/capacity.rs
@@ -34,6 +34,14 @@
         })
 }
 
+/// Memory that is set aside for cached responses of dependencies, in bytes.
+pub(super) fn cache_bytes(operator: Option<&OperatorConfig>) -> usize {
+    let operator = operator.filter(|operator| !operator.dependencies.is_empty());
+    operator.map_or(0, |operator| {
+        (operator.stale_cache_mb * BYTES_PER_MB) as usize
+    })
+}
+
 /// The connections left for callers once those to dependencies are subtracted. An error if none are left, or if cached
 /// responses would take too much of the memory.
 pub(super) fn max_caller_connections(
--- a/crates/server/src/config/error.rs
+++ b/crates/server/src/config/error.rs
@@ -55,6 +55,14 @@
         /// Descriptors that are reserved.
         reserved: u64,
     },
+    /// A memory limit that does not hold the program and its callers.
+    #[error("limits: memory_mb is {memory_mb}: expected at least {min_mb}")]
+    TooLittleMemory {
+        /// The limit in megabytes.
+        memory_mb: usize,
+        /// The smallest limit in megabytes.
+        min_mb: usize,
+    },
     /// A name that cannot be part of a path.
     #[error("name is invalid: expected one or more letters, digits, dashes, dots and underscores")]
     InvalidName,
--- a/crates/server/src/config/mod.rs
+++ b/crates/server/src/config/mod.rs
@@ -13,6 +13,7 @@
 pub use reload::Reloaded;
 
 use crate::clock::time_from_ms;
+use crate::memory_plan::{self, MemoryDemand, MemoryPlan};
 use cottondyke_admission::AdmissionController;
 use cottondyke_operator_config::{HandlerSpec, OperatorConfig};
 use cottondyke_settings::{self as settings, WireNames};
@@ -132,6 +133,7 @@
         validate::check_name(&config.name)?;
         validate::check_settings(&config).map_err(|error| error.within("settings"))?;
         config.admission_controller(Time(0))?;
+        config.check_memory()?;
         Ok(config)
     }
 
@@ -167,9 +169,29 @@
         self.max_connections =
             capacity::max_caller_connections(self.max_connections, self.memory_bytes, &operator)?;
         self.operator = Some(operator);
+        self.check_memory()?;
         Ok(self)
     }
 
+    /// Divides the memory limit, given the memory of the program without callers, in bytes.
+    pub fn memory_plan(&self, program_bytes: usize) -> Result<MemoryPlan, ConfigError> {
+        let demand = MemoryDemand {
+            limit_bytes: self.memory_bytes,
+            program_bytes,
+            cache_bytes: capacity::cache_bytes(self.operator.as_ref()),
+            max_connections: self.max_connections,
+        };
+        MemoryPlan::new(demand).map_err(|error| ConfigError::TooLittleMemory {
+            memory_mb: error.limit_bytes / MB,
+            min_mb: error.min_bytes.div_ceil(MB),
+        })
+    }
+
+    /// Checks that the memory limit holds the program and some callers.
+    fn check_memory(&self) -> Result<(), ConfigError> {
+        self.memory_plan(memory_plan::program_bytes(None)).map(drop)
+    }
+
     /// Whether the settings say that the server starts cold, below its full speed.
     pub fn starts_cold(&self) -> bool {
         let info = self.settings.get("family_info");
--- a/crates/server/src/config/standalone.rs
+++ b/crates/server/src/config/standalone.rs
@@ -33,6 +33,7 @@
         config.control = None;
         config.records = None;
         config.operator = Some(operator);
+        config.check_memory()?;
         Ok(config)
     }
 }
--- a/crates/server/src/connection/reader.rs
+++ b/crates/server/src/connection/reader.rs
@@ -16,13 +16,11 @@
 use std::time::{Duration, Instant};
 
 /// Maximum number of requests in flight on one connection.
-const MAX_IN_FLIGHT: usize = 32;
-/// Capacity of a connection's queue of responses to write, which also holds health statuses and errors.
-const MAX_PENDING_RESPONSES: usize = 4 * MAX_IN_FLIGHT;
+pub(super) const MAX_IN_FLIGHT: usize = 32;
 /// Maximum number of frames that are decoded before other connections have their turn.
 const MAX_FRAMES_PER_TURN: usize = 32;
-/// Size of the decoder's buffer that is granted however little memory is free, and of reads then: the largest sound
-/// request fits, so that no sound connection is ended for want of memory.
+/// Size of the decoder's buffer that is granted however little memory is free, as part of the connection's fixed memory,
+/// and of reads then: the largest sound request fits, so that no sound connection is ended for want of memory.
 const MIN_BUFFER_BYTES: usize = 4_096;
 const MIN_READ_BYTES: usize = 1_024;
 /// Maximum time from the opening of the connection, or from the first byte of a frame, to the last byte of that frame.
@@ -58,7 +56,9 @@
 /// Serves a connection until it is closed in both directions.
 pub async fn serve(id: ConnectionId, stream: Async<TcpStream>, context: &ConnectionContext) {
     let _ = stream.get_ref().set_nodelay(true);
-    let (writer, outgoing) = async_channel::bounded::<Outgoing>(MAX_PENDING_RESPONSES);
+    socket_io::limit_buffers(stream.get_ref(), context.limits.socket_buffers());
+    // The table of connections bounds it. A bounded channel would allocate all its slots for each idle connection.
+    let (writer, outgoing) = async_channel::unbounded::<Outgoing>();
     let account = context.limits.open_account();
     let handle = ConnectionHandle {
         outgoing: writer,
@@ -85,7 +85,8 @@
         account: &account,
         frame_deadline: Some(Instant::now() + FRAME_TIMEOUT),
     };
-    let reading = async {
+    // Boxed, since `or` would otherwise hold each of both futures twice.
+    let reading = Box::pin(async {
         let last = match reader.run().await {
             Ok(ReadEnd::Broken) => return WriteOutcome::Broken,
             Ok(ReadEnd::HalfClosed) => Event::HalfClosed(id),
@@ -94,8 +95,9 @@
         let _ = context.events.send(last).await;
         // The writer ends the connection once the dispatcher has answered all requests in flight.
         future::pending().await
-    };
+    });
     let writing = writer::write(&stream, outgoing, &progress, context.write_timeout);
+    let writing = Box::pin(writing);
     let outcome = reading.or(writing).await;
     drop(writer_queue);
     // From here on, received data is discarded: a request read after the half-close could not be answered.
@@ -263,11 +265,11 @@
         }
     }
 
-    /// Counts the memory of the decoder's buffer.
+    /// Counts the memory of the decoder's buffer, unless it is part of the connection's fixed memory.
     fn charge_buffer(&mut self) -> Result<(), ProtocolError> {
         let bytes = self.decoder.buffer_bytes();
         if bytes <= MIN_BUFFER_BYTES {
-            self.buffer_memory.set(bytes);
+            self.buffer_memory.set(0);
         } else if !self.buffer_memory.try_set(bytes) {
             return Err(ProtocolError::FrameBufferFull);
         }
--- a/crates/server/src/connection/table.rs
+++ b/crates/server/src/connection/table.rs
@@ -1,5 +1,6 @@
 //! The dispatcher's table of connections. A connection is listed from its opening until its last bytes are written and
 //! it is closed. The table decides which connections to close, and when.
+use super::reader::MAX_IN_FLIGHT;
 use crate::connection_account::ConnectionAccount;
 use crate::event::{ConnectionHandle, ConnectionId, Outgoing};
 use crate::protocol::sidecar::Response;
@@ -15,6 +16,8 @@
 /// a shutdown.
 const CLOSE_DELAY: Time = SECOND;
 const MIN_CLOSE_DELAY: Time = Time(1_000);
+/// Maximum number of messages that wait for a connection's writer; health statuses and errors count too.
+const MAX_PENDING_RESPONSES: usize = 4 * MAX_IN_FLIGHT;
 /// Minimum time until eviction is attempted again.
 const EVICTION_INTERVAL: Time = Time(100);
 /// For this long after it was opened, a connection that has sent nothing yet is not evicted before others.
@@ -137,7 +140,7 @@
             return;
         };
         let message = encode(&connection.account, response, self.advice);
-        if outgoing.try_send(message).is_err() {
+        if outgoing.len() >= MAX_PENDING_RESPONSES || outgoing.try_send(message).is_err() {
             tracing::warn!(
                 connection = id.0,
                 "sidecar reads too slowly; dropping its connection"
--- a/crates/server/src/connection_account.rs
+++ b/crates/server/src/connection_account.rs
@@ -23,6 +23,7 @@
 impl ConnectionAccount {
     /// Creates the account of a new connection, whose client is not known.
     pub fn new(memory: Rc<MemoryAccount>, quota: Rc<UnverifiedQuota>) -> Rc<Self> {
+        memory.set_known(false);
         Rc::new(ConnectionAccount {
             memory,
             quota,
@@ -38,6 +39,7 @@
     /// Sets whether the client is known: the engine has recognized a request of it, and none was invalid since.
     pub fn set_verified(&self, is_verified: bool) {
         self.is_verified.set(is_verified);
+        self.memory.set_known(is_verified);
     }
 
     /// Asks whether a request may be passed on: at once if the client is known, else within the quota of unknown ones.
--- a/crates/server/src/dispatcher/reload.rs
+++ b/crates/server/src/dispatcher/reload.rs
@@ -35,8 +35,16 @@
         if self.shutdown_at.is_some() {
             config.shutdown_timeout = self.config.shutdown_timeout;
         }
+        let plan = match config.memory_plan(self.limits.memory().plan().program_bytes) {
+            Ok(plan) => plan,
+            Err(error) => {
+                tracing::error!(%error, "configuration cannot be applied; keeping the old one");
+                return;
+            }
+        };
         self.apply_addresses(&config);
-        self.limits.set(config.max_connections, config.memory_bytes);
+        self.limits.set_plan(plan);
+        plan.log_left_out(config.max_connections);
         log_reload(&config);
         self.config = Rc::new(config);
         self.apply_operator_file(now);
--- a/crates/server/src/dispatcher/timers.rs
+++ b/crates/server/src/dispatcher/timers.rs
@@ -106,6 +106,7 @@
             self.next_log = now + LOG_INTERVAL;
             self.log_last_second(now);
         }
+        self.observe_memory();
         self.settle_overdue_runs(now);
         self.expire_retained(now);
         self.advance_shutdown(now, phase)
@@ -129,6 +130,12 @@
         self.log_dropped_lines();
     }
 
+    fn observe_memory(&self) {
+        if let Some(resident) = process_memory::resident_bytes() {
+            self.limits.memory().observe_resident(resident);
+        }
+    }
+
     fn log_memory_change(&mut self) {
         let status = MemoryStatus {
             resident_bytes: process_memory::resident_bytes(),
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Modules by layer, lowest first; no module imports one that is listed after it:
 //!
-//! - [`clock`], [`backoff`], [`socket_io`], [`tasks`], [`log_output`], [`descriptor_table`], [`process_memory`],
+//! - [`clock`], [`backoff`], [`memory_plan`], [`socket_io`], [`tasks`], [`log_output`], [`descriptor_table`], [`process_memory`],
 //!   [`protocol`] (encoding and decoding of messages), [`memory_budget`], [`unverified_quota`], [`connection_account`], [`config`] and [`event`] (the inputs of the dispatcher);
 //! - [`resource_limits`], [`cpu_usage`], [`shutdown`], [`health_check`], [`dedup`], [`recent_ids`], [`signal`];
 //! - [`connection`], [`listener`], [`outbound`], [`load_report`], [`cluster`], [`execution`];
@@ -28,6 +28,7 @@
 pub mod load_report;
 pub mod log_output;
 pub mod memory_budget;
+pub mod memory_plan;
 pub mod outbound;
 pub mod process_memory;
 pub mod protocol;
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections from sidecars, within the limit on descriptors.
 use crate::connection::reader::{self, ConnectionContext};
 use crate::event::{ConnectionId, Event};
+use crate::memory_plan::SocketBuffers;
 use crate::socket_io;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -21,9 +22,10 @@
 /// Minimum time between log lines about a reached connection limit.
 const FULL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Listens on an address.
-pub fn bind(addr: SocketAddr) -> io::Result<Async<TcpListener>> {
+/// Listens on an address. Connections that are not accepted yet have kernel buffers of these sizes.
+pub fn bind(addr: SocketAddr, buffers: SocketBuffers) -> io::Result<Async<TcpListener>> {
     let listener = Async::<TcpListener>::bind(addr)?;
+    socket_io::limit_buffers(&listener, buffers);
     rustix::net::listen(&listener, BACKLOG)?;
     Ok(listener)
 }
@@ -110,7 +112,9 @@
         let permit = self.context.limits.acquire_connection();
         let context = self.context.clone();
         let task = async move {
-            contain_panic(id, reader::serve(id, stream, &context)).await;
+            // Boxed, since each future that a future is passed to would hold it twice.
+            let serving = Box::pin(reader::serve(id, stream, &context));
+            contain_panic(id, serving).await;
             let _ = context.events.send(Event::Closed(id)).await;
             drop(permit);
         };
--- a/crates/server/src/protocol/mod.rs
+++ b/crates/server/src/protocol/mod.rs
@@ -8,6 +8,9 @@
 
 pub use error::{FieldError, ProtocolError, RequestError};
 
+/// Maximum space that a buffer allocates in advance.
+const MAX_SPARE_BYTES: usize = 32_768;
+
 /// Bytes that have been read and not decoded yet. The buffer grows only by what has been read, whatever length a
 /// message announces.
 ///
@@ -29,8 +32,11 @@
     pub fn feed(&mut self, bytes: &[u8]) {
         self.bytes.drain(..self.consumed);
         self.consumed = 0;
-        // Without the spare space that would otherwise be allocated for growth.
-        self.bytes.reserve_exact(bytes.len());
+        // Some spare space, so that a long message which arrives in small pieces is not copied for each of them.
+        let spare = (self.bytes.len() / 2).min(MAX_SPARE_BYTES);
+        if self.bytes.capacity() - self.bytes.len() < bytes.len() {
+            self.bytes.reserve_exact(bytes.len().max(spare));
+        }
         self.bytes.extend_from_slice(bytes);
     }
 
--- a/crates/server/src/resource_limits.rs
+++ b/crates/server/src/resource_limits.rs
@@ -1,8 +1,8 @@
-//! The limits on connections and on the memory that callers make the process hold. The configuration sets the number of
-//! connections and the memory of the whole program, and sets both again on SIGHUP. Cached responses of dependencies are
-//! limited by the configuration.
+//! The limits on connections and on the memory that callers make the process hold. Both come from the memory plan, which
+//! the configuration sets at start and again on SIGHUP. Cached responses of dependencies are limited by the configuration.
 use crate::connection_account::ConnectionAccount;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_plan::{MemoryPlan, SocketBuffers};
 use crate::unverified_quota::UnverifiedQuota;
 use async_channel::{Receiver, Sender};
 use std::cell::{Cell, RefCell};
@@ -27,7 +27,6 @@
 
 /// The limits, and how much of each is in use.
 pub struct ResourceLimits {
-    max_connections: Cell<usize>,
     open_connections: Cell<usize>,
     memory: Rc<MemoryBudget>,
     unverified_quota: Rc<UnverifiedQuota>,
@@ -37,22 +36,20 @@
 }
 
 impl ResourceLimits {
-    /// Creates limits of this many connections and this many bytes of memory.
-    pub fn new(connections: usize, memory: usize) -> Rc<Self> {
+    /// Creates limits according to a plan.
+    pub fn new(plan: MemoryPlan) -> Rc<Self> {
         Rc::new(ResourceLimits {
-            max_connections: Cell::new(connections),
             open_connections: Cell::new(0),
-            memory: MemoryBudget::new(memory),
+            memory: MemoryBudget::new(plan),
             unverified_quota: UnverifiedQuota::new(),
             released: async_channel::bounded(1),
             read_buffer: RefCell::new(vec![0; READ_BUFFER_BYTES]),
         })
     }
 
-    /// Changes both limits. What already exceeds them is not revoked, but released as usual.
-    pub fn set(&self, connections: usize, memory: usize) {
-        self.max_connections.set(connections);
-        self.memory.set_memory(memory);
+    /// Changes the plan. What already exceeds it is not revoked, but released as usual.
+    pub fn set_plan(&self, plan: MemoryPlan) {
+        self.memory.set_plan(plan);
         self.notify_released();
     }
 
@@ -67,7 +64,16 @@
 
     /// Whether the connection limit is reached.
     pub fn is_full(&self) -> bool {
-        self.open_connections.get() >= self.max_connections.get()
+        self.open_connections.get() >= self.max_connections()
+    }
+
+    fn max_connections(&self) -> usize {
+        self.memory.plan().max_connections
+    }
+
+    /// Sizes of a connection's buffers in the kernel.
+    pub fn socket_buffers(&self) -> SocketBuffers {
+        self.memory.plan().socket_buffers
     }
 
     /// Waits until the number of connections is below the limit.
@@ -79,7 +85,7 @@
 
     /// The number of open connections, and how many should stay open.
     pub fn connections(&self) -> ConnectionCount {
-        let target = (self.max_connections.get() as f64 * EVICTION_THRESHOLD) as usize;
+        let target = (self.max_connections() as f64 * EVICTION_THRESHOLD) as usize;
         ConnectionCount {
             open: self.open_connections.get(),
             target: target.max(1),
--- a/crates/server/src/socket_io.rs
+++ b/crates/server/src/socket_io.rs
@@ -3,11 +3,14 @@
 //! Any of these system calls may fail with `EINTR` without having done anything (signal(7)). `async-io` passes this error
 //! on, and so does the `AsyncRead` and `AsyncWrite` implementation of its sockets. Here the call is made again, so that
 //! an interruption never looks like a broken connection.
+use crate::memory_plan::SocketBuffers;
 use async_io::Async;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
+use rustix::net::sockopt;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::AsFd;
 
 /// Makes a system call again for as long as it is interrupted.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
@@ -19,6 +22,16 @@
     }
 }
 
+/// Limits the kernel's buffers of a connection, or of the connections that a listener will accept. Without a limit, the
+/// kernel lets them grow to megabytes.
+pub fn limit_buffers(socket: impl AsFd, buffers: SocketBuffers) {
+    let socket = socket.as_fd();
+    // The kernel doubles the values that it is given (socket(7)). A buffer that stays larger is no reason to refuse the
+    // connection.
+    let _ = sockopt::set_socket_recv_buffer_size(socket, buffers.receive_bytes / 2);
+    let _ = sockopt::set_socket_send_buffer_size(socket, buffers.send_bytes / 2);
+}
+
 /// Opens a connection. An interrupted attempt has sent no bytes, so another one is made on a new socket.
 pub async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     loop {
--- a/crates/server/tests/connection_close.rs
+++ b/crates/server/tests/connection_close.rs
@@ -7,6 +7,7 @@
 use cottondyke::connection::reader::{self, ConnectionContext};
 use cottondyke::connection_account::Turn;
 use cottondyke::event::{ConnectionHandle, ConnectionId, Event, Outgoing};
+use cottondyke::memory_plan::MemoryPlan;
 use cottondyke::protocol::sidecar::{DecoderSettings, StreamId};
 use cottondyke::resource_limits::ResourceLimits;
 use cottondyke::unverified_quota::SLOTS;
@@ -21,8 +22,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The memory limit, of which half may be held: more than the largest response of these tests.
-const MEMORY_BYTES: usize = 1 << 28;
 /// How long the sidecar may read nothing before it is cut off.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -62,7 +61,7 @@
         let (event_sender, events) = async_channel::bounded(capacity);
         let context = ConnectionContext {
             decoder_settings: Rc::new(decoder_settings),
-            limits: ResourceLimits::new(8, MEMORY_BYTES),
+            limits: ResourceLimits::new(MemoryPlan::unlimited(8)),
             events: event_sender,
             write_timeout: WRITE_TIMEOUT,
         };
--- a/crates/server/tests/connection_table.rs
+++ b/crates/server/tests/connection_table.rs
@@ -1,6 +1,7 @@
 //! Tests of which connections are evicted, and when.
 use cottondyke::connection::table::ConnectionTable;
 use cottondyke::event::{ConnectionHandle, ConnectionId, Outgoing};
+use cottondyke::memory_plan::MemoryPlan;
 use cottondyke::protocol::sidecar::{Response, StreamId};
 use cottondyke::resource_limits::{ConnectionCount, ResourceLimits};
 use cottondyke_types::Time;
@@ -14,7 +15,7 @@
 #[test]
 fn evicts_silent_connections_first() {
     let mut connections = ConnectionTable::default();
-    let limits = ResourceLimits::new(8, 1 << 20);
+    let limits = ResourceLimits::new(MemoryPlan::unlimited(8));
     let channels: Vec<_> = (0..5).map(|_| async_channel::bounded(4)).collect();
     for (n, at) in [(0, 0), (1, 10), (2, 20), (3, 5_000), (4, 5_000)] {
         let handle = ConnectionHandle {
--- a/crates/server/tests/dispatcher.rs
+++ b/crates/server/tests/dispatcher.rs
@@ -7,6 +7,7 @@
 use cottondyke::connection_account::RequestReservation;
 use cottondyke::dispatcher::{DispatcherParts, RequestDispatcher};
 use cottondyke::event::{ConnectionHandle, ConnectionId, Event, Outgoing, TaskChannels};
+use cottondyke::memory_plan::MemoryPlan;
 use cottondyke::protocol::engine::{EngineCommand, EngineMessage, EngineStart, MessageNumber};
 use cottondyke::protocol::sidecar::{Request, StreamId};
 use cottondyke::protocol::{ProtocolError, WireId};
@@ -49,7 +50,7 @@
             engine_address,
             stop_listening,
         };
-        let limits = ResourceLimits::new(100, 1 << 20);
+        let limits = ResourceLimits::new(MemoryPlan::unlimited(100));
         let dispatcher = RequestDispatcher::new(DispatcherParts {
             config,
             admission,
--- a/crates/server/tests/hostile_clients/caller.rs
+++ b/crates/server/tests/hostile_clients/caller.rs
@@ -10,6 +10,8 @@
 const MAX_OPEN: usize = 32;
 /// The work of each request, in microseconds on one core of the fake machine.
 const WORK_MICROS: &[u8] = b"5000";
+/// A request that was sent no longer than this before the end of its connection may have been in transit.
+const TRANSIT: Duration = Duration::from_millis(50);
 /// The kind of a frame that answers a request, and the codes of an answer.
 const RESPONSE: u8 = 2;
 const COMPLETED: u8 = 1;
@@ -28,6 +30,15 @@
 }
 
 impl Seen {
+    fn add(&mut self, other: Seen) {
+        self.sent += other.sent;
+        self.completed += other.completed;
+        self.rejected += other.rejected;
+        self.failed += other.failed;
+        self.unanswered += other.unanswered;
+        self.times.extend(other.times);
+    }
+
     /// The time within which this fraction of the answers came.
     pub(crate) fn quantile(&self, fraction: f64) -> Duration {
         let index = (self.times.len() as f64 * fraction) as usize;
@@ -63,7 +74,8 @@
 struct CallerState {
     open: BTreeMap<u32, Instant>,
     seen: Seen,
-    has_ended: bool,
+    /// When the connection ended.
+    ended_at: Option<Instant>,
 }
 
 /// How a caller calls.
@@ -78,18 +90,33 @@
     pub(crate) patience: Duration,
 }
 
-/// Sends requests on one connection, then waits for the outstanding answers.
+/// Sends requests, on a new connection whenever the server has closed one, then waits for the outstanding answers.
 pub(crate) fn call(plan: CallerPlan) -> Seen {
+    let start = Instant::now();
+    let mut seen = Seen::default();
+    while start.elapsed() < plan.time {
+        let time = plan.time.saturating_sub(start.elapsed());
+        seen.add(call_on_one_connection(
+            CallerPlan { time, ..plan },
+            seen.sent as u32,
+        ));
+    }
+    seen.times.sort_unstable();
+    seen
+}
+
+/// Sends requests with the numbers after `last_number` until the connection ends or the time is over, then waits for the outstanding answers.
+fn call_on_one_connection(plan: CallerPlan, last_number: u32) -> Seen {
     let sidecar = FakeSidecar::connect(plan.addr).unwrap();
     let reader = FakeSidecar(sidecar.0.try_clone().unwrap());
     let state = Arc::new(Mutex::new(CallerState::default()));
     let reader_state = state.clone();
     let reading = std::thread::spawn(move || read_answers(reader, &reader_state));
-    let sidecar = send_requests(sidecar, plan, &state);
+    let sidecar = send_requests(sidecar, plan, last_number, &state);
     let end = Instant::now() + plan.patience;
     let is_waiting = || {
         let state = state.lock().unwrap();
-        !state.open.is_empty() && !state.has_ended
+        !state.open.is_empty() && state.ended_at.is_none()
     };
     while Instant::now() < end && is_waiting() {
         std::thread::sleep(Duration::from_millis(5));
@@ -97,29 +124,34 @@
     let _ = sidecar.0.shutdown(Shutdown::Both);
     reading.join().unwrap();
     let mut state = state.lock().unwrap();
-    state.seen.unanswered = state.open.len();
-    state.seen.times.sort_unstable();
+    // What was sent no longer than this before the end of the connection may have been in transit.
+    let ended_at = state.ended_at.unwrap_or(end);
+    let was_read = |sent: &&Instant| ended_at.saturating_duration_since(**sent) > TRANSIT;
+    state.seen.unanswered = state.open.values().filter(was_read).count();
     std::mem::take(&mut state.seen)
 }
 
 fn send_requests(
     mut sidecar: FakeSidecar,
     plan: CallerPlan,
+    last_number: u32,
     state: &Mutex<CallerState>,
 ) -> FakeSidecar {
     let start = Instant::now();
-    let mut number = 0;
+    let mut number = last_number;
     while start.elapsed() < plan.time {
         std::thread::sleep(plan.interval);
         let mut state = state.lock().unwrap();
-        if state.has_ended {
+        if state.ended_at.is_some() {
             break;
         }
         if state.open.len() < MAX_OPEN {
             number += 1;
             state.open.insert(number, Instant::now());
             state.seen.sent += 1;
-            send_request(&mut sidecar, number, IDEMPOTENT, &[], WORK_MICROS);
+            if try_send_request(&mut sidecar, number, IDEMPOTENT, &[], WORK_MICROS).is_err() {
+                break;
+            }
         }
     }
     sidecar
@@ -139,5 +171,5 @@
             _ => state.seen.failed += 1,
         }
     }
-    state.lock().unwrap().has_ended = true;
+    state.lock().unwrap().ended_at = Some(Instant::now());
 }
--- a/crates/server/tests/hostile_clients/main.rs
+++ b/crates/server/tests/hostile_clients/main.rs
@@ -3,6 +3,7 @@
 mod attack;
 mod caller;
 mod memory;
+mod platform;
 #[path = "../serve/process.rs"]
 #[expect(
     dead_code,
@@ -22,12 +23,14 @@
 use cottondyke_test_support::fake_machine::{FakeMachine, MachineConfig, NoticeStyle, StartKind};
 use serde_json::json;
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const BYTES_PER_MB: usize = 1 << 20;
 const BYTES_PER_KB: usize = 1 << 10;
 /// How long the hostile clients run; `HOSTILE_SECONDS` names another time.
 const DEFAULT_TIME: Duration = Duration::from_secs(4);
+/// How often the kernel's buffers are looked at, which takes longer than the process's memory.
+const KERNEL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the caller is served before the hostile clients start.
 const LEAD: Duration = Duration::from_millis(200);
 /// The time between two requests of the caller.
@@ -127,14 +130,18 @@
         .iter()
         .map(|(kind, count)| Attack::start(addr, *kind, *count, seed))
         .collect();
-    let mut peak_bytes = 0;
+    let (mut peak_bytes, mut kernel_bytes, mut kernel_read_at) = (0, 0, Instant::now());
     while !calling.is_finished() {
-        peak_bytes = peak_bytes.max(rig.status_number("VmRSS:") * BYTES_PER_KB);
+        if kernel_read_at.elapsed() > KERNEL_INTERVAL {
+            kernel_bytes = platform::kernel_bytes(addr);
+            kernel_read_at = Instant::now();
+        }
+        peak_bytes = peak_bytes.max(platform::resident_bytes(&rig) + kernel_bytes);
         std::thread::sleep(Duration::from_millis(2));
     }
     let seen = calling.join().unwrap();
     println!(
-        "{attacks:?}, {limits:?}, known {knows_all}, seed {seed}: {}; at most {} KB of resident memory",
+        "{attacks:?}, {limits:?}, known {knows_all}, seed {seed}: {}; at most {} KB of memory",
         seen.summary(),
         peak_bytes >> 10
     );
--- a/crates/server/tests/hostile_clients/memory.rs
+++ b/crates/server/tests/hostile_clients/memory.rs
@@ -1,6 +1,6 @@
 //! The memory that the platform counts, with other limits than the usual ones.
 use crate::attack::Kind;
-use crate::{check_answered, check_memory, run_within, Limits, Outcome};
+use crate::{check_answered, check_memory, run_within, Limits};
 
 /// The seed of the hostile clients.
 const SEED: u64 = 1;
@@ -22,6 +22,17 @@
     check_parts(16, 512, 400);
 }
 
+/// Guards the memory limit against what the kernel buffers for clients that send more than the server reads.
+#[test]
+fn stays_within_its_memory_limit_when_the_kernel_buffers_unread_requests() {
+    let limits = Limits {
+        memory_mb: 32,
+        sockets: 1_024,
+    };
+    let attacks = [(Kind::ReadsSlowly, 300)];
+    check_memory(&run_within(limits, &attacks, true, SEED));
+}
+
 /// Guards a small memory limit against the fixed part of as many connections as the descriptors allow.
 #[test]
 fn stays_within_a_small_memory_limit_when_a_thousand_clients_connect() {
@@ -31,6 +42,5 @@
         sockets: 1_024,
     };
     let attacks = [(Kind::WritesPart, 500), (Kind::ReadsSlowly, 300)];
-    let outcome: Outcome = run_within(limits, &attacks, true, SEED);
-    check_memory(&outcome);
+    check_memory(&run_within(limits, &attacks, true, SEED));
 }
--- a/crates/server/tests/listener.rs
+++ b/crates/server/tests/listener.rs
@@ -4,6 +4,7 @@
 use cottondyke::connection::reader::ConnectionContext;
 use cottondyke::event::{ConnectionId, Event};
 use cottondyke::listener::{contain_panic, listen};
+use cottondyke::memory_plan::MemoryPlan;
 use cottondyke::resource_limits::ResourceLimits;
 use cottondyke_test_support::fakes::IO_TIMEOUT;
 use futures_lite::future;
@@ -33,7 +34,7 @@
     let executor = Rc::new(LocalExecutor::new());
     let context = ConnectionContext {
         decoder_settings: Rc::default(),
-        limits: ResourceLimits::new(1, 0),
+        limits: ResourceLimits::new(MemoryPlan::unlimited(1)),
         events,
         write_timeout: IO_TIMEOUT,
     };
--- a/crates/server/tests/serve/rig.rs
+++ b/crates/server/tests/serve/rig.rs
@@ -179,6 +179,17 @@
     more: &[(&str, &str)],
     body: &[u8],
 ) {
+    try_send_request(sidecar, number, class, more, body).unwrap();
+}
+
+/// Like [`send_request`]; fails if the connection has ended.
+pub(crate) fn try_send_request(
+    sidecar: &mut FakeSidecar,
+    number: u32,
+    class: &str,
+    more: &[(&str, &str)],
+    body: &[u8],
+) -> std::io::Result<()> {
     let (id, at) = (id(number.into()), unix_ms().to_string());
     let mut fields = vec![
         ("class", class),
@@ -188,7 +199,7 @@
         ("kb", "10.0"),
     ];
     fields.extend(more);
-    sidecar.send(1, number, &fields, body).unwrap();
+    sidecar.send(1, number, &fields, body)
 }
 
 /// Takes the engine's next command, which must start a run, and returns the run's id.
--- a/crates/server/tests/serve/startup.rs
+++ b/crates/server/tests/serve/startup.rs
@@ -132,3 +132,14 @@
         assert!(slots >= limit, "{slots} of {limit}");
     }
 }
+
+/// Guards operators against a memory limit that silently holds fewer connections than the descriptors allow.
+#[test]
+fn tells_at_start_how_many_connections_the_memory_limit_holds() {
+    let rig = Rig::with(|conf| {
+        conf["limits"]["memory_mb"] = json!(16);
+        conf["limits"]["sockets"] = json!(1_024);
+    });
+    let line = rig.wait_for_log("holds fewer connections than the descriptors allow");
+    assert!(line.contains("allowed=928"), "{line}");
+}
