--- a/crates/server/src/app.rs
+++ b/crates/server/src/app.rs
@@ -9,7 +9,7 @@
 use crate::dispatcher::{DispatcherParts, RequestDispatcher};
 use crate::event::{Event, TaskChannels, MAX_PENDING_EVENTS};
 use crate::execution::engine_link;
-use crate::memory_plan::{self, MemoryPlan, SocketBuffers};
+use crate::memory_plan::{self, MemoryPlan};
 use crate::process_memory;
 use crate::protocol::sidecar::DecoderSettings;
 use crate::resource_limits::ResourceLimits;
@@ -53,7 +53,7 @@
 /// files were first read.
 pub fn serve(signals: CaughtSignals, files: ConfigFiles, config: Config) -> Result<(), AppError> {
     let plan = memory_plan(&config)?;
-    let listener = bind(config.listen, plan.socket_buffers)?;
+    let listener = bind(config.listen, plan)?;
     let clock = Clock::start();
     let admission = config.admission_controller(clock.now())?;
     let limits = ResourceLimits::new(plan);
@@ -125,8 +125,8 @@
     plan.log_left_out(config.max_connections);
 }
 
-fn bind(addr: SocketAddr, buffers: SocketBuffers) -> Result<Async<TcpListener>, AppError> {
-    listener::bind(addr, buffers).map_err(|source| AppError::Listen { addr, source })
+fn bind(addr: SocketAddr, plan: MemoryPlan) -> Result<Async<TcpListener>, AppError> {
+    listener::bind(addr, plan).map_err(|source| AppError::Listen { addr, source })
 }
 
 /// The tasks that run alongside the dispatcher.
--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts connections from sidecars, within the limit on descriptors.
 use crate::connection::reader::{self, ConnectionContext};
 use crate::event::{ConnectionId, Event};
-use crate::memory_plan::SocketBuffers;
+use crate::memory_plan::MemoryPlan;
 use crate::socket_io;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -16,17 +16,15 @@
 
 /// Pause after a failed `accept`, for example when the system has no descriptor left.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-/// Length of the listen queue. The kernel drops a connection attempt that does not fit: it is lost, or succeeds seconds
-/// later if the client's side retries it.
-const BACKLOG: i32 = 1_024;
 /// Minimum time between log lines about a reached connection limit.
 const FULL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Listens on an address. Connections that are not accepted yet have kernel buffers of these sizes.
-pub fn bind(addr: SocketAddr, buffers: SocketBuffers) -> io::Result<Async<TcpListener>> {
+/// Listens on an address, with the listen queue and the kernel buffers of this plan.
+pub fn bind(addr: SocketAddr, plan: MemoryPlan) -> io::Result<Async<TcpListener>> {
     let listener = Async::<TcpListener>::bind(addr)?;
-    socket_io::limit_buffers(&listener, buffers);
-    rustix::net::listen(&listener, BACKLOG)?;
+    socket_io::limit_buffers(&listener, plan.socket_buffers);
+    let length = i32::try_from(plan.listen_queue).unwrap_or(i32::MAX);
+    rustix::net::listen(&listener, length)?;
     Ok(listener)
 }
 
--- a/crates/server/src/memory_plan.rs
+++ b/crates/server/src/memory_plan.rs
@@ -29,6 +29,10 @@
 const MAX_SEND_BUFFER_BYTES: usize = 512 << 10;
 /// What a connection's send buffer holds of answers that its client reads slowly, on average of all connections.
 const SEND_BUFFER_BYTES: usize = 12 << 10;
+/// The listen queue is this part of the connections, and no longer than this. The kernel drops a connection attempt that
+/// does not fit: it is lost, or succeeds seconds later if the client's side retries it.
+const LISTEN_QUEUE_DIVISOR: usize = 2;
+const MAX_LISTEN_QUEUE: usize = 1_024;
 /// What callers hold takes this much resident memory, as a ratio: the allocator keeps freed memory, and blocks of different
 /// sizes leave gaps between them.
 const ALLOCATOR_OVERHEAD: (usize, usize) = (3, 2);
@@ -79,6 +83,8 @@
 pub struct MemoryPlan {
     /// The connections that the descriptors allow and the memory holds.
     pub max_connections: usize,
+    /// Length of the listen queue, in connections.
+    pub listen_queue: usize,
     /// Sizes of a connection's buffers in the kernel.
     pub socket_buffers: SocketBuffers,
     /// What connections may make the process hold together, beyond the part of its own that each has, in bytes.
@@ -112,6 +118,7 @@
         let connections_bytes = max_connections * connection_bytes(receive_buffer_bytes);
         Ok(MemoryPlan {
             max_connections,
+            listen_queue: listen_queue(max_connections),
             socket_buffers: SocketBuffers::new(receive_buffer_bytes),
             shared_bytes: without_allocator_overhead(caller_bytes - connections_bytes),
             program_bytes: demand.program_bytes,
@@ -135,6 +142,7 @@
     pub fn unlimited(max_connections: usize) -> Self {
         MemoryPlan {
             max_connections,
+            listen_queue: MAX_LISTEN_QUEUE,
             socket_buffers: SocketBuffers::new(MAX_RECEIVE_BUFFER_BYTES),
             shared_bytes: usize::MAX / 4,
             program_bytes: 0,
@@ -155,7 +163,15 @@
     MIN_PROGRAM_BYTES.max(at_start + PROGRAM_GROWTH_BYTES)
 }
 
-/// The memory of a connection with a receive buffer of this size, without its part of what connections share.
+/// The length of the listen queue of a server with this many connections.
+fn listen_queue(max_connections: usize) -> usize {
+    (max_connections / LISTEN_QUEUE_DIVISOR).clamp(1, MAX_LISTEN_QUEUE)
+}
+
+/// The memory of a connection with a receive buffer of this size, without its part of what connections share, and of its
+/// part of the listen queue.
 fn connection_bytes(receive_buffer_bytes: usize) -> usize {
-    CONNECTION_BYTES + MIN_ACCOUNT_BYTES + SOCKET_BYTES + receive_buffer_bytes + SEND_BUFFER_BYTES
+    let queued = (SOCKET_BYTES + receive_buffer_bytes) / LISTEN_QUEUE_DIVISOR;
+    let in_kernel = SOCKET_BYTES + receive_buffer_bytes + SEND_BUFFER_BYTES;
+    CONNECTION_BYTES + MIN_ACCOUNT_BYTES + in_kernel + queued
 }
