--- a/crates/server/src/connection/reader.rs
+++ b/crates/server/src/connection/reader.rs
@@ -161,7 +161,9 @@
             }
             // Until all of it is decoded: frames that wait for their turn keep the connection open.
             self.progress.has_partial_frame.set(true);
-            self.charge_buffer()?;
+            if !self.charge_buffer() {
+                return Err(self.give_up_frame().await);
+            }
             let mut frames = 0;
             while let Some(frame) = self.next_frame()? {
                 frames += 1;
@@ -172,7 +174,9 @@
                     future::yield_now().await;
                 }
             }
-            self.charge_buffer()?;
+            if !self.charge_buffer() {
+                return Err(self.give_up_frame().await);
+            }
             self.track_incomplete_frame(frames > 0);
             // A sidecar that sends without a pause must not starve other connections.
             future::yield_now().await;
@@ -265,15 +269,22 @@
         }
     }
 
-    /// Counts the memory of the decoder's buffer, unless it is part of the connection's fixed memory.
-    fn charge_buffer(&mut self) -> Result<(), ProtocolError> {
+    /// Counts the memory of the decoder's buffer, unless it is part of the connection's fixed memory. Returns false if there
+    /// is none for it.
+    fn charge_buffer(&mut self) -> bool {
         let bytes = self.decoder.buffer_bytes();
-        if bytes <= MIN_BUFFER_BYTES {
-            self.buffer_memory.set(0);
-        } else if !self.buffer_memory.try_set(bytes) {
-            return Err(ProtocolError::FrameBufferFull);
-        }
-        Ok(())
+        let counted = if bytes <= MIN_BUFFER_BYTES { 0 } else { bytes };
+        self.buffer_memory.try_set(counted)
+    }
+
+    /// Frees the buffer, and waits until the time for the frame is over before the connection is ended: a client that is
+    /// ended at once comes back at once, and so takes the time of others.
+    async fn give_up_frame(&mut self) -> ProtocolError {
+        self.decoder = Decoder::new(self.context.decoder_settings.clone());
+        self.buffer_memory.set(0);
+        let deadline = self.frame_deadline;
+        Timer::at(deadline.unwrap_or_else(|| Instant::now() + FRAME_TIMEOUT)).await;
+        ProtocolError::FrameBufferFull
     }
 
     /// Limits the time that an incomplete frame may take.
