--- a/crates/server/src/memory_plan.rs
+++ b/crates/server/src/memory_plan.rs
@@ -29,9 +29,10 @@
 const MAX_SEND_BUFFER_BYTES: usize = 512 << 10;
 /// What a connection's send buffer holds of answers that its client reads slowly, on average of all connections.
 const SEND_BUFFER_BYTES: usize = 12 << 10;
-/// The listen queue is this part of the connections, and no longer than this. The kernel drops a connection attempt that
-/// does not fit: it is lost, or succeeds seconds later if the client's side retries it.
-const LISTEN_QUEUE_DIVISOR: usize = 2;
+/// Connections in the listen queue may take the memory for connections divided by this. The kernel drops a connection attempt
+/// that does not fit into the queue: it is lost, or succeeds seconds later if the client's side retries it.
+const LISTEN_QUEUE_DIVISOR: usize = 8;
+/// Maximum length of the listen queue, in connections.
 const MAX_LISTEN_QUEUE: usize = 1_024;
 /// What callers hold takes this much resident memory, as a ratio: the allocator keeps freed memory, and blocks of different
 /// sizes leave gaps between them.
@@ -101,7 +102,8 @@
         let fixed_bytes = demand.program_bytes + demand.cache_bytes;
         let min_bytes = fixed_bytes
             + MIN_SHARED_BYTES
-            + MIN_CONNECTIONS * connection_bytes(MIN_RECEIVE_BUFFER_BYTES);
+            + MIN_CONNECTIONS * connection_bytes(MIN_RECEIVE_BUFFER_BYTES) * LISTEN_QUEUE_DIVISOR
+                / (LISTEN_QUEUE_DIVISOR - 1);
         if demand.limit_bytes < min_bytes {
             return Err(MemoryTooSmall {
                 limit_bytes: demand.limit_bytes,
@@ -110,17 +112,21 @@
         }
         let caller_bytes = demand.limit_bytes - fixed_bytes;
         let for_connections = caller_bytes - MIN_SHARED_BYTES;
-        let connections_fit = for_connections / connection_bytes(MIN_RECEIVE_BUFFER_BYTES);
+        let queue_bytes = for_connections / LISTEN_QUEUE_DIVISOR;
+        let connections_fit =
+            (for_connections - queue_bytes) / connection_bytes(MIN_RECEIVE_BUFFER_BYTES);
         let max_connections = demand.max_connections.min(connections_fit);
         let buffers_bytes = for_connections / RECEIVE_BUFFER_DIVISOR;
         let receive_buffer_bytes = (buffers_bytes / max_connections.max(1))
             .clamp(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
         let connections_bytes = max_connections * connection_bytes(receive_buffer_bytes);
+        let listen_queue = queue_bytes / (SOCKET_BYTES + receive_buffer_bytes);
+        let left = caller_bytes - connections_bytes - queue_bytes;
         Ok(MemoryPlan {
             max_connections,
-            listen_queue: listen_queue(max_connections),
+            listen_queue: listen_queue.min(MAX_LISTEN_QUEUE),
             socket_buffers: SocketBuffers::new(receive_buffer_bytes),
-            shared_bytes: without_allocator_overhead(caller_bytes - connections_bytes),
+            shared_bytes: without_allocator_overhead(left),
             program_bytes: demand.program_bytes,
             limit_bytes: demand.limit_bytes,
         })
@@ -163,15 +169,8 @@
     MIN_PROGRAM_BYTES.max(at_start + PROGRAM_GROWTH_BYTES)
 }
 
-/// The length of the listen queue of a server with this many connections.
-fn listen_queue(max_connections: usize) -> usize {
-    (max_connections / LISTEN_QUEUE_DIVISOR).clamp(1, MAX_LISTEN_QUEUE)
-}
-
-/// The memory of a connection with a receive buffer of this size, without its part of what connections share, and of its
-/// part of the listen queue.
+/// The memory of a connection with a receive buffer of this size, without its part of what connections share.
 fn connection_bytes(receive_buffer_bytes: usize) -> usize {
-    let queued = (SOCKET_BYTES + receive_buffer_bytes) / LISTEN_QUEUE_DIVISOR;
     let in_kernel = SOCKET_BYTES + receive_buffer_bytes + SEND_BUFFER_BYTES;
-    CONNECTION_BYTES + MIN_ACCOUNT_BYTES + in_kernel + queued
+    CONNECTION_BYTES + MIN_ACCOUNT_BYTES + in_kernel
 }
